--- a/src/bin/rowanpond-simhost.rs
+++ b/src/bin/micaladder-benchlink.rs
@@ -1,7 +1,7 @@
 //! Adapter between the simulator's wire (one JSON value a line) and the decision module. It translates only.
 #![forbid(unsafe_code)]
 
-use rowanpond::*;
+use micaladder::*;
 use serde::Deserialize;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -335,7 +335,7 @@
 
 fn main() {
     if let Err(fault) = run() {
-        eprintln!("rowanpond-simhost: {fault}");
+        eprintln!("micaladder-benchlink: {fault}");
         std::process::exit(2);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! rowanpond decides for a message relay which held message goes to which endpoint, and when.
+//! micaladder decides for a message relay which held message goes to which endpoint, and when.
 //!
 //! The relay owns time, ids and the network. It makes one [`Balancer`] from its [`Settings`], and calls
 //! [`Balancer::handle`] with all [`Event`]s of a moment; the module takes them all in, decides once, and appends
@@ -12,7 +12,7 @@
 //! one held are the clients' to hand in again.
 //!
 //! ```
-//! use rowanpond::*;
+//! use micaladder::*;
 //!
 //! let class = Class {
 //!     aim: Nanos::from_secs(1.0),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,4 +1,4 @@
-//! Every decision of rowanpond, and every value that decides. Types, settings, events and actions are in
+//! Every decision of micaladder, and every value that decides. Types, settings, events and actions are in
 //! `interface.rs`, records in `state.rs`. In the order of a round: ingest, expire, promote, pick, send, arm.
 use crate::interface::*;
 use crate::state::*;
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -3,7 +3,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_rowanpond-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_micaladder-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A relay's side of the interface for tests: feeds events, collects actions. It models no server.
 #![allow(dead_code)]
-use rowanpond::*;
+use micaladder::*;
 
 pub const MS: u64 = 1_000_000;
 pub const SAFE: usize = 0;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1,7 +1,7 @@
 //! The module driven through its public interface: one test for each rule, mechanism and failure found.
 mod common;
 use common::*;
-use rowanpond::*;
+use micaladder::*;
 
 fn one_host() -> Relay {
     Relay::new(settings(), vec![host(1, 10, 0, 0)])
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,8 +2,8 @@
 //! time, and effects, waits, drains, order, attempt and slot limits hold. It makes event sequences, no servers.
 mod common;
 use common::*;
+use micaladder::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use rowanpond::*;
 use std::collections::BTreeMap;
 
 /// What the oracle knows of one message.
