--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,628 @@
+//! Request contexts, tries, outcomes and deadlines. Drives the decision module with all that happened in a
+//! moment, keeps the journal in step, and says what is to be done. It knows no wire.
+use crate::journal::{End, Journal, Record, Taken};
+use crate::settings::Config;
+use bytes::Bytes;
+use micaladder::{
+    Action, Balancer, DestId, Effect, Ended, Entry, Event, HostId, Listed, Message, MsgId, Nanos, Outcome,
+    Past, Settings,
+};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// A request for delivery, as a client handed it in.
+#[derive(Debug)]
+pub struct RequestContext {
+    /// What its client calls it.
+    pub name: String,
+    /// The front through which it came; its notices go back there.
+    pub origin: String,
+    pub class: usize,
+    pub tenant: usize,
+    pub key: Option<u64>,
+    pub dest: u64,
+    pub deadline: Nanos,
+    /// By which endpoints know repeats; empty where the class has none.
+    pub repeat_key: String,
+    pub body: Bytes,
+}
+
+/// What a client is told of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    Taken,
+    /// A repeat of one that was delivered.
+    Delivered,
+    /// Coming again is harmless, after this time if told.
+    Reject(Option<Nanos>),
+    Failed,
+}
+
+/// One member of the upstream group.
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub uid: String,
+    pub address: String,
+    pub zone: usize,
+    pub kind: usize,
+    pub dest: u64,
+    pub state: Listed,
+    pub rate: f64,
+}
+
+/// What happened.
+pub enum Input {
+    Group {
+        whole: bool,
+        members: Vec<Member>,
+    },
+    Handed {
+        id: MsgId,
+        context: RequestContext,
+    },
+    /// The client went before its answer.
+    Withdrawn(MsgId),
+    /// `over`: the endpoint says that nothing more is owed.
+    TryEnded {
+        id: MsgId,
+        attempt: u32,
+        outcome: Outcome,
+        over: bool,
+    },
+    NoticeHeard(MsgId),
+}
+
+/// One attempt at delivery.
+#[derive(Clone, Debug)]
+pub struct Try {
+    pub id: MsgId,
+    pub attempt: u32,
+    pub host: HostId,
+    pub address: String,
+    pub timeout: Nanos,
+    pub context: Arc<RequestContext>,
+}
+
+/// What a client hears of a message that was taken on and not delivered.
+#[derive(Clone, Debug)]
+pub struct Notice {
+    pub id: MsgId,
+    pub name: String,
+    pub end: End,
+}
+
+/// What is to be done.
+pub enum Order {
+    Answer(MsgId, Answer),
+    Try(Try),
+    GiveUp { id: MsgId, attempt: u32 },
+    Release(HostId),
+    Notice(Notice),
+}
+
+struct Out {
+    attempt: u32,
+    started: Nanos,
+    zone: usize,
+    /// Waits for an earlier message's notice; not on its way yet.
+    held_back: bool,
+    host: HostId,
+    timeout: Nanos,
+}
+
+struct Held {
+    context: Arc<RequestContext>,
+    tries: u32,
+    out: Option<Out>,
+    /// When, and in which zone, the first try started that may have run.
+    maybe: Option<(Nanos, usize)>,
+    /// Set once the message is over; it is kept for its try and its notice.
+    end: Option<End>,
+    heard: bool,
+    weight: u64,
+}
+
+/// What is remembered of a message that is over, so that its repeats are answered alike.
+struct Gone {
+    name: String,
+    repeat_key: String,
+    until: Nanos,
+    delivered: bool,
+}
+
+/// How long beyond its time a message that is over is remembered, in seconds.
+const REMEMBER: f64 = 2.0;
+
+pub struct Core {
+    settings: Settings,
+    balancer: Balancer,
+    journal: Journal,
+    held: BTreeMap<MsgId, Held>,
+    names: HashMap<String, MsgId>,
+    past: Vec<Gone>,
+    hosts: Vec<Member>,
+    uids: HashMap<String, HostId>,
+    dests: BTreeSet<u64>,
+    /// Bytes that the journal must keep for what is owed.
+    weight: u64,
+    next: u64,
+    wake: Option<Nanos>,
+    events: Vec<Event>,
+    orders: Vec<Order>,
+    now: Nanos,
+    resting: bool,
+}
+
+impl Core {
+    /// Takes up what the journal says is still owed.
+    pub fn new(config: &Config, journal: Journal, records: Vec<Record>, now: Nanos) -> Core {
+        let settings = config.site.module.clone();
+        let mut core = Core {
+            balancer: Balancer::new(settings.clone(), config.seed),
+            settings,
+            journal,
+            held: BTreeMap::new(),
+            names: HashMap::new(),
+            past: Vec::new(),
+            hosts: Vec::new(),
+            uids: HashMap::new(),
+            dests: BTreeSet::new(),
+            weight: 0,
+            next: 1,
+            wake: None,
+            events: Vec::new(),
+            orders: Vec::new(),
+            now,
+            resting: false,
+        };
+        records.into_iter().for_each(|r| core.replay(r));
+        core.resume();
+        core
+    }
+
+    /// The number for the next message that is handed in.
+    pub fn next_id(&mut self) -> MsgId {
+        self.next += 1;
+        MsgId(self.next - 1)
+    }
+
+    /// When `moment` is to be called at the latest.
+    pub fn wake(&self) -> Option<Nanos> {
+        self.wake.filter(|_| !self.resting)
+    }
+
+    /// Tries that are out.
+    pub fn tries_out(&self) -> usize {
+        self.held.values().filter(|h| h.out.is_some()).count()
+    }
+
+    /// From now on no new try starts; what is handed in is kept for the next process.
+    pub fn rest(&mut self) {
+        self.resting = true;
+    }
+
+    // ---- What was before the start.
+
+    fn replay(&mut self, record: Record) {
+        match record {
+            Record::Taken(t) => {
+                let id = MsgId(t.id);
+                self.next = self.next.max(t.id + 1);
+                let context = RequestContext {
+                    name: t.name,
+                    origin: t.origin,
+                    class: t.class as usize,
+                    tenant: t.tenant as usize,
+                    key: t.key,
+                    dest: t.dest,
+                    deadline: Nanos(t.deadline),
+                    repeat_key: t.repeat_key,
+                    body: t.body,
+                };
+                self.keep(id, context);
+            }
+            Record::Started { id, at, zone } => {
+                if let Some(h) = self.held.get_mut(&MsgId(id)) {
+                    let (started, zone) = (Nanos(at), zone as usize);
+                    let (host, timeout) = (HostId(0), Nanos(0));
+                    h.out = Some(Out { attempt: h.tries, started, zone, held_back: false, host, timeout });
+                    h.tries += 1;
+                }
+            }
+            Record::Outcome { id, may_have_run } => {
+                if let Some(h) = self.held.get_mut(&MsgId(id)) {
+                    h.ran(may_have_run);
+                }
+            }
+            Record::Ended { id, at, end } => {
+                if let Some(h) = self.held.get_mut(&MsgId(id)) {
+                    (h.end, h.out) = (Some(end), None);
+                    let (context, at) = (h.context.clone(), Nanos(at));
+                    self.remember(&context, at, end);
+                    self.drop_if_done(MsgId(id));
+                }
+            }
+            Record::Heard { id } => self.heard(MsgId(id)),
+            Record::Past { name, repeat_key, until, delivered } => {
+                self.past.push(Gone { name, repeat_key, until: Nanos(until), delivered })
+            }
+        }
+    }
+
+    fn resume(&mut self) {
+        for h in self.held.values_mut().filter(|h| h.out.is_some()) {
+            // Guards "no double effect" across restarts: a try that was out may have run.
+            h.ran(true);
+        }
+        let now = self.now;
+        self.past.retain(|p| p.until > now);
+        for (id, h) in &self.held {
+            if let Some(end) = h.end {
+                self.orders.push(Order::Notice(h.notice(*id, end)));
+            } else {
+                let past = Past { tries: h.tries, maybe: h.maybe };
+                self.events.push(Event::Resumed(h.message(*id), past));
+            }
+        }
+        if !self.held.is_empty() {
+            log::info!("taken up from the journal: {} messages", self.held.len());
+            self.wake = Some(now);
+        }
+    }
+
+    // ---- A moment.
+
+    /// Takes in all that happened, lets the module decide once, and says what is to be done.
+    pub fn moment(&mut self, now: Nanos, inputs: Vec<Input>) -> Vec<Order> {
+        self.now = now;
+        let mut handed = Vec::new();
+        for input in inputs {
+            match input {
+                Input::Group { whole, members } => self.group(whole, members),
+                Input::Handed { id, context } => handed.extend(self.handed(id, context)),
+                Input::Withdrawn(id) => self.withdrawn(id),
+                Input::TryEnded { id, attempt, outcome, over } => self.try_ended(id, attempt, outcome, over),
+                Input::NoticeHeard(id) => {
+                    self.write(Record::Heard { id: id.0 });
+                    self.heard(id);
+                }
+            }
+        }
+        let mut actions = Vec::new();
+        if !self.resting {
+            if self.wake.is_some_and(|w| w <= now) {
+                self.wake = None;
+                self.events.push(Event::Due);
+            }
+            let events = std::mem::take(&mut self.events);
+            self.balancer.handle(now, &events, &mut actions);
+        }
+        self.answer(&handed, &actions);
+        actions.into_iter().for_each(|a| self.carry_out(a));
+        self.release_held_back();
+        self.compact();
+        std::mem::take(&mut self.orders)
+    }
+
+    fn group(&mut self, whole: bool, members: Vec<Member>) {
+        let mut entries = Vec::new();
+        for m in members {
+            let fresh = HostId(self.hosts.len() as u32);
+            let host = *self.uids.entry(m.uid.clone()).or_insert(fresh);
+            self.dests.insert(m.dest);
+            let (zone, kind, dest, state, rate) = (m.zone, m.kind, DestId(m.dest), m.state, m.rate);
+            entries.push(Entry { host, zone, kind, dest, state, rate });
+            if host == fresh {
+                self.hosts.push(m);
+            } else {
+                self.hosts[host.0 as usize] = m;
+            }
+        }
+        self.events.push(Event::List { whole, entries });
+    }
+
+    /// Decides what can be told at once; else hands the message to the module, and gives its id.
+    fn handed(&mut self, id: MsgId, context: RequestContext) -> Option<MsgId> {
+        let known = |p: &&Gone| {
+            let same_key = !p.repeat_key.is_empty() && p.repeat_key == context.repeat_key;
+            p.name == context.name || p.delivered && same_key
+        };
+        let open = self.held.values().filter(|h| h.end.is_none()).count();
+        let weight = Journal::weight(&context.name, &context.repeat_key, context.body.len());
+        let past = self.past.iter().map(|p| Journal::weight(&p.name, &p.repeat_key, 0)).sum::<u64>();
+        let answer = if let Some(p) = self.past.iter().rev().find(known) {
+            if p.delivered {
+                Answer::Delivered
+            } else {
+                Answer::Failed
+            }
+        } else if self.names.contains_key(&context.name) {
+            // The same request once more, over a connection that crossed its answer: it is held already.
+            Answer::Taken
+        } else if !self.dests.contains(&context.dest) || context.deadline <= self.now {
+            Answer::Failed
+        } else if open >= self.settings.open_cap {
+            Answer::Reject(self.settings.retry_after.map(|top| Nanos::from_secs(1.0).min(top)))
+        } else if self.weight + past + weight > self.journal.room() {
+            log::warn!("reject: no room in the journal");
+            Answer::Reject(self.settings.retry_after.map(|top| Nanos::from_secs(1.0).min(top)))
+        } else {
+            self.keep(id, context);
+            if let Some(h) = self.held.get(&id) {
+                self.events.push(Event::Message(h.message(id)));
+            }
+            return Some(id);
+        };
+        self.orders.push(Order::Answer(id, answer));
+        None
+    }
+
+    fn keep(&mut self, id: MsgId, context: RequestContext) {
+        let weight = Journal::weight(&context.name, &context.repeat_key, context.body.len());
+        self.weight += weight;
+        self.names.insert(context.name.clone(), id);
+        let context = Arc::new(context);
+        let held = Held { context, tries: 0, out: None, maybe: None, end: None, heard: false, weight };
+        self.held.insert(id, held);
+    }
+
+    fn withdrawn(&mut self, id: MsgId) {
+        if self.held.get(&id).is_some_and(|h| h.end.is_none()) {
+            self.events.push(Event::Gone(id));
+            self.end(id, End::Withdrawn);
+        }
+    }
+
+    fn try_ended(&mut self, id: MsgId, attempt: u32, outcome: Outcome, over: bool) {
+        let Some(h) = self.held.get_mut(&id) else { return };
+        let Some(out) = h.out.as_ref().filter(|o| o.attempt == attempt) else { return };
+        let took = self.now - out.started;
+        let may_have_run = !matches!(outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot);
+        h.ran(may_have_run);
+        self.events.push(Event::Ended(Ended { id, attempt, outcome, over, took, report: None }));
+        if outcome == Outcome::Ok || over {
+            let end = if outcome == Outcome::Ok { End::Delivered } else { End::Withdrawn };
+            if self.held[&id].end.is_none() {
+                self.end(id, end);
+            } else if outcome == Outcome::Ok {
+                log::warn!("delivered after its end: {}", self.held[&id].context.name);
+            }
+        } else if self.held[&id].end.is_none() {
+            self.write(Record::Outcome { id: id.0, may_have_run });
+        }
+        self.drop_if_done(id);
+    }
+
+    /// Answers the clients of this moment's requests. What is taken on is in the journal before that.
+    fn answer(&mut self, handed: &[MsgId], actions: &[Action]) {
+        let mut rejects = BTreeMap::new();
+        for action in actions {
+            match action {
+                Action::Refuse { id, after } => rejects.insert(*id, Answer::Reject(*after)),
+                Action::Fail(id) => rejects.insert(*id, Answer::Failed),
+                _ => None,
+            };
+        }
+        for id in handed {
+            let Some(h) = self.held.get(id) else { continue };
+            let answer = match rejects.get(id) {
+                Some(answer) => *answer,
+                None if self.append(&Record::Taken(h.taken(*id))) => Answer::Taken,
+                None => {
+                    self.events.push(Event::Gone(*id));
+                    Answer::Reject(None)
+                }
+            };
+            if answer != Answer::Taken {
+                self.forget(*id);
+            }
+            self.orders.push(Order::Answer(*id, answer));
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { id, host, timeout } => self.send(id, host, timeout),
+            Action::Cancel { id, attempt } => self.orders.push(Order::GiveUp { id, attempt }),
+            Action::Refuse { id, after } => self.end(id, End::Deferred(after.map(|a| a.0 / 1_000_000))),
+            Action::Fail(id) => self.end(id, End::Undeliverable),
+            Action::WakeAt(at) => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
+            Action::Release(host) => self.orders.push(Order::Release(host)),
+            // The watch on the upstream group renews itself.
+            Action::Watch => {}
+            Action::Log { text, host } => {
+                let member = host.and_then(|h| self.hosts.get(h.0 as usize));
+                match member {
+                    Some(m) => log::info!("{text}: {} of dest {}", m.uid, m.dest),
+                    None => log::info!("{text}"),
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, id: MsgId, host: HostId, timeout: Nanos) {
+        let (now, zone) = (self.now, self.hosts.get(host.0 as usize).map_or(0, |m| m.zone));
+        let Some(h) = self.held.get_mut(&id) else { return };
+        // Guards "order by key": a message that ends by a notice is over only once the notice is answered.
+        let out = Out { attempt: h.tries, started: now, zone, held_back: true, host, timeout };
+        h.out = Some(out);
+        h.tries += 1;
+    }
+
+    /// Starts the tries whose key is free. The journal knows of a try before its first byte goes out.
+    fn release_held_back(&mut self) {
+        let unheard: BTreeSet<u64> = self
+            .held
+            .values()
+            .filter(|h| h.end.is_some() && !h.heard)
+            .filter_map(|h| h.context.key)
+            .collect();
+        let free = |h: &Held| h.out.as_ref().is_some_and(|o| o.held_back) && !h.blocked(&unheard);
+        let ids: Vec<MsgId> = self.held.iter().filter(|(_, h)| free(h)).map(|(id, _)| *id).collect();
+        for id in ids {
+            let Some(h) = self.held.get_mut(&id) else { continue };
+            let Some(out) = h.out.as_mut() else { continue };
+            (out.held_back, out.started) = (false, self.now);
+            let (attempt, host, timeout, zone) = (out.attempt, out.host, out.timeout, out.zone as u32);
+            let timeout = timeout.min(h.context.deadline - self.now);
+            let (context, at) = (h.context.clone(), self.now.0);
+            let address = self.hosts.get(host.0 as usize).map(|m| m.address.clone()).unwrap_or_default();
+            self.write(Record::Started { id: id.0, at, zone });
+            self.orders.push(Order::Try(Try { id, attempt, host, address, timeout, context }));
+        }
+    }
+
+    /// The message is over for its client.
+    fn end(&mut self, id: MsgId, end: End) {
+        let now = self.now;
+        let Some(h) = self.held.get_mut(&id).filter(|h| h.end.is_none()) else { return };
+        h.end = Some(end);
+        let (context, notice) = (h.context.clone(), h.notice(id, end));
+        // One that is held back never went out; the module still waits to hear of it.
+        if let Some(out) = h.out.take_if(|o| o.held_back) {
+            let (attempt, outcome, took) = (out.attempt, Outcome::Moot, Nanos(0));
+            self.events.push(Event::Ended(Ended { id, attempt, outcome, over: true, took, report: None }));
+            self.wake = Some(now);
+        }
+        self.write(Record::Ended { id: id.0, at: now.0, end });
+        self.remember(&context, now, end);
+        if matches!(end, End::Undeliverable | End::Deferred(_)) {
+            self.orders.push(Order::Notice(notice));
+        }
+        self.drop_if_done(id);
+    }
+
+    fn heard(&mut self, id: MsgId) {
+        if let Some(h) = self.held.get_mut(&id) {
+            h.heard = true;
+            self.drop_if_done(id);
+        }
+    }
+
+    /// One that was handed back or withdrawn may come again as if new.
+    fn remember(&mut self, context: &RequestContext, at: Nanos, end: End) {
+        if !matches!(end, End::Delivered | End::Undeliverable) {
+            return;
+        }
+        let class = self.settings.classes.get(context.class);
+        let window = match class.map(|c| c.effect) {
+            Some(Effect::Keyed { window, .. }) => window,
+            _ => Nanos(0),
+        };
+        let until = context.deadline.max(at + window) + REMEMBER;
+        let (name, repeat_key) = (context.name.clone(), context.repeat_key.clone());
+        let now = self.now;
+        self.past.retain(|p| p.until > now);
+        self.past.push(Gone { name, repeat_key, until, delivered: end == End::Delivered });
+    }
+
+    fn drop_if_done(&mut self, id: MsgId) {
+        let Some(h) = self.held.get(&id) else { return };
+        let told = match h.end {
+            None => false,
+            Some(End::Delivered | End::Withdrawn) => true,
+            Some(End::Undeliverable | End::Deferred(_)) => h.heard,
+        };
+        if told && h.out.is_none() {
+            self.forget(id);
+        }
+    }
+
+    fn forget(&mut self, id: MsgId) {
+        if let Some(h) = self.held.remove(&id) {
+            self.weight -= h.weight;
+            if self.names.get(&h.context.name) == Some(&id) {
+                self.names.remove(&h.context.name);
+            }
+        }
+    }
+
+    // ---- The journal.
+
+    fn append(&mut self, record: &Record) -> bool {
+        self.journal.append(record).inspect_err(|e| log::error!("journal: {e}")).is_ok()
+    }
+
+    fn write(&mut self, record: Record) {
+        self.append(&record);
+    }
+
+    fn compact(&mut self) {
+        if !self.journal.is_full() {
+            return;
+        }
+        let now = self.now;
+        self.past.retain(|p| p.until > now);
+        let past = self.past.iter().map(|p| {
+            let (name, repeat_key) = (p.name.clone(), p.repeat_key.clone());
+            Record::Past { name, repeat_key, until: p.until.0, delivered: p.delivered }
+        });
+        let held = self.held.iter().flat_map(|(id, h)| h.records(*id, now));
+        match self.journal.rewrite(past.chain(held)) {
+            Ok(()) => log::debug!("journal written anew"),
+            Err(e) => log::error!("journal not written anew: {e}"),
+        }
+    }
+}
+
+impl Held {
+    fn ran(&mut self, may_have_run: bool) {
+        if let Some(out) = self.out.take() {
+            if may_have_run && !out.held_back {
+                self.maybe.get_or_insert((out.started, out.zone));
+            }
+        }
+    }
+
+    fn blocked(&self, unheard: &BTreeSet<u64>) -> bool {
+        self.context.key.is_some_and(|k| unheard.contains(&k))
+    }
+
+    fn message(&self, id: MsgId) -> Message {
+        let c = &self.context;
+        Message {
+            id,
+            class: c.class,
+            tenant: c.tenant,
+            key: c.key,
+            dest: DestId(c.dest),
+            deadline: c.deadline,
+        }
+    }
+
+    fn notice(&self, id: MsgId, end: End) -> Notice {
+        Notice { id, name: self.context.name.clone(), end }
+    }
+
+    fn taken(&self, id: MsgId) -> Taken {
+        let c = &self.context;
+        Taken {
+            id: id.0,
+            name: c.name.clone(),
+            origin: c.origin.clone(),
+            class: c.class as u32,
+            tenant: c.tenant as u32,
+            key: c.key,
+            dest: c.dest,
+            deadline: c.deadline.0,
+            repeat_key: c.repeat_key.clone(),
+            body: c.body.clone(),
+        }
+    }
+
+    /// All that the journal must say of it, in the fewest records.
+    fn records(&self, id: MsgId, now: Nanos) -> Vec<Record> {
+        let mut records = vec![Record::Taken(self.taken(id))];
+        let out = self.out.as_ref().filter(|o| !o.held_back);
+        let done = self.tries - u32::from(self.out.is_some());
+        for n in 0..done {
+            let (at, zone) = self.maybe.map_or((0, 0), |(at, zone)| (at.0, zone as u32));
+            records.push(Record::Started { id: id.0, at, zone });
+            records.push(Record::Outcome { id: id.0, may_have_run: n == 0 && self.maybe.is_some() });
+        }
+        records.extend(out.map(|o| Record::Started { id: id.0, at: o.started.0, zone: o.zone as u32 }));
+        records.extend(self.end.map(|end| Record::Ended { id: id.0, at: now.0, end }));
+        records.extend(self.heard.then_some(Record::Heard { id: id.0 }));
+        records
+    }
+}
--- /dev/null
+++ b/src/discovery.rs
@@ -0,0 +1,100 @@
+//! The watch on discovery, which fills the upstream group.
+use crate::core::Member;
+use crate::exchange::Exchange;
+use crate::settings::{Config, GroupUpdate, Site, Target};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use micaladder::Listed;
+use miniserde::json;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// An empty line is due every 2 s; after so long without one the watch is taken for dead.
+const SILENCE: Duration = Duration::from_millis(4500);
+const CONNECT_FOR: Duration = Duration::from_secs(1);
+const PAUSE: Duration = Duration::from_millis(200);
+/// A longer line is no list of this deployment.
+const LINE_MOST: usize = 4 << 20;
+
+type Fault = Box<dyn std::error::Error + Send + Sync>;
+
+/// Watches for as long as the process runs; each new watch goes on from the version last held.
+pub async fn run(config: Config, exchange: Exchange) {
+    let mut rev = config.known.rev;
+    loop {
+        if let Err(fault) = watch(&config, &exchange, &mut rev).await {
+            log::warn!("discovery: {fault}; watching again after version {rev}");
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn watch(config: &Config, exchange: &Exchange, rev: &mut u64) -> Result<(), Fault> {
+    let socket = timeout(CONNECT_FOR, TcpStream::connect(&config.discovery)).await??;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(socket)).await?;
+    tokio::spawn(connection);
+    let request = Request::get(format!("/v1/endpoints?watch=1&after={rev}"))
+        .header("host", &config.discovery)
+        .body(Empty::<Bytes>::new())?;
+    let mut answer = timeout(SILENCE, sender.send_request(request)).await??;
+    if answer.status() != StatusCode::OK {
+        return Err(format!("the watch was answered {}", answer.status()).into());
+    }
+    let mut held = Vec::new();
+    while let Some(frame) = timeout(SILENCE, answer.body_mut().frame()).await? {
+        let Ok(data) = frame?.into_data() else { continue };
+        held.extend_from_slice(&data);
+        // A chunk may end anywhere: only whole lines are read.
+        while let Some(end) = held.iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = held.drain(..=end).collect();
+            take(&line, config, exchange, rev);
+        }
+        if held.len() > LINE_MOST {
+            return Err("a line without end".into());
+        }
+    }
+    Err("the watch ended".into())
+}
+
+fn take(line: &[u8], config: &Config, exchange: &Exchange, rev: &mut u64) {
+    let text = String::from_utf8_lossy(line);
+    if text.trim().is_empty() {
+        return;
+    }
+    match json::from_str::<GroupUpdate>(&text) {
+        Ok(update) => {
+            *rev = update.rev;
+            log::info!("upstream group: version {rev}, {} lines", update.targets.len());
+            exchange.regroup(update.all, members(&config.site, &update));
+        }
+        Err(_) => log::warn!("discovery: passed over a line that is no list: {:.80}", text.trim()),
+    }
+}
+
+/// The members that an update names.
+pub fn members(site: &Site, update: &GroupUpdate) -> Vec<Member> {
+    update.targets.iter().map(|t| member(site, t)).collect()
+}
+
+fn member(site: &Site, t: &Target) -> Member {
+    let place = |names: &[String], name: &Option<String>| {
+        names.iter().position(|n| Some(n) == name.as_ref()).unwrap_or(0)
+    };
+    Member {
+        uid: t.uid.clone(),
+        address: t.endpoint.clone(),
+        zone: place(&site.zones, &t.az),
+        kind: place(&site.kinds, &t.model),
+        dest: t.pod_group,
+        state: match t.state.as_str() {
+            "Ready" => Listed::Running,
+            "Gone" => Listed::Gone,
+            // Guards drains against words that are not known: nothing new goes where it may not be wanted.
+            _ => Listed::Stopping,
+        },
+        rate: t.capacity_hint.unwrap_or(0.0),
+    }
+}
--- /dev/null
+++ b/src/exchange.rs
@@ -0,0 +1,185 @@
+//! The one object in which client side and server side meet. Clients hand requests in and wait for answers;
+//! the server side takes tries and notices from it and brings their outcomes back. Neither knows the other.
+use crate::clock;
+use crate::core::{Answer, Core, Input, Member, Notice, Order, RequestContext, Try};
+use micaladder::{HostId, MsgId, Outcome};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::{oneshot, watch};
+
+/// After SIGTERM: how long new tries still start, and when the last of them is waited for no longer. The
+/// process must be gone before a SIGKILL that comes after 3.7 s.
+const TRIES_FOR: Duration = Duration::from_millis(1500);
+const GONE_BY: Duration = Duration::from_millis(3300);
+/// New connections still come for 0.4 s after SIGTERM.
+const CONNECTIONS_FOR: Duration = Duration::from_millis(500);
+
+enum Said {
+    Handed(RequestContext, oneshot::Sender<Answer>),
+    Happened(Input),
+    WindUp(oneshot::Sender<()>),
+}
+
+/// What the server side does for the exchange.
+pub enum Work {
+    Try(Try),
+    GiveUp { id: MsgId, attempt: u32 },
+    Release(HostId),
+}
+
+#[derive(Clone)]
+pub struct Exchange {
+    said: UnboundedSender<Said>,
+    closing: watch::Receiver<bool>,
+}
+
+/// The ends of the exchange from which work is taken.
+pub struct Works {
+    pub tries: UnboundedReceiver<Work>,
+    pub notices: UnboundedReceiver<Notice>,
+}
+
+impl Exchange {
+    /// Starts the exchange round this core.
+    pub fn new(core: Core) -> (Exchange, Works) {
+        let (said, hear) = unbounded_channel();
+        let (tries_in, tries) = unbounded_channel();
+        let (notices_in, notices) = unbounded_channel();
+        let (close, closing) = watch::channel(false);
+        let desk = Desk { core, answers: BTreeMap::new(), tries: tries_in, notices: notices_in, close };
+        tokio::spawn(desk.run(hear));
+        (Exchange { said, closing }, Works { tries, notices })
+    }
+
+    /// Hands a request in. A caller that drops this before its answer withdraws the request.
+    pub async fn hand_in(&self, context: RequestContext) -> Answer {
+        let (tell, answer) = oneshot::channel();
+        self.say(Said::Handed(context, tell));
+        answer.await.unwrap_or(Answer::Reject(None))
+    }
+
+    pub fn regroup(&self, whole: bool, members: Vec<Member>) {
+        self.say(Said::Happened(Input::Group { whole, members }));
+    }
+
+    pub fn try_ended(&self, id: MsgId, attempt: u32, outcome: Outcome, over: bool) {
+        self.say(Said::Happened(Input::TryEnded { id, attempt, outcome, over }));
+    }
+
+    pub fn notice_heard(&self, id: MsgId) {
+        self.say(Said::Happened(Input::NoticeHeard(id)));
+    }
+
+    /// Lets calls finish; returns when the process may end.
+    pub async fn wind_up(&self) {
+        let (tell, done) = oneshot::channel();
+        self.say(Said::WindUp(tell));
+        let _ = done.await;
+    }
+
+    /// Turns true when client connections are to be closed.
+    pub fn closing(&self) -> watch::Receiver<bool> {
+        self.closing.clone()
+    }
+
+    fn say(&self, said: Said) {
+        // The desk ends with the process only.
+        let _ = self.said.send(said);
+    }
+}
+
+struct Desk {
+    core: Core,
+    answers: BTreeMap<MsgId, oneshot::Sender<Answer>>,
+    tries: UnboundedSender<Work>,
+    notices: UnboundedSender<Notice>,
+    close: watch::Sender<bool>,
+}
+
+impl Desk {
+    async fn run(mut self, mut hear: UnboundedReceiver<Said>) {
+        let mut winding: Option<(tokio::time::Instant, oneshot::Sender<()>)> = None;
+        loop {
+            let mut inputs = Vec::new();
+            let wake = self.core.wake().map(clock::instant);
+            let stop = winding.as_ref().map(|(since, _)| next_step(*since));
+            let sleep = wake.into_iter().chain(stop).min();
+            tokio::select! {
+                biased;
+                said = hear.recv() => match said {
+                    Some(said) => self.take(said, &mut inputs, &mut winding),
+                    None => return,
+                },
+                () = sleep_until(sleep) => {}
+            }
+            while let Ok(said) = hear.try_recv() {
+                self.take(said, &mut inputs, &mut winding);
+            }
+            let orders = self.core.moment(clock::now(), inputs);
+            let mut gone = Vec::new();
+            orders.into_iter().for_each(|o| gone.extend(self.carry_out(o)));
+            if !gone.is_empty() {
+                let orders = self.core.moment(clock::now(), gone);
+                orders.into_iter().for_each(|o| drop(self.carry_out(o)));
+            }
+            if let Some((since, _)) = &winding {
+                let past = since.elapsed();
+                if past >= TRIES_FOR {
+                    self.core.rest();
+                }
+                let quiet = past >= TRIES_FOR && self.core.tries_out() == 0;
+                if past >= CONNECTIONS_FOR && (quiet || past >= GONE_BY) {
+                    let _ = self.close.send(true);
+                    if let Some((_, tell)) = winding.take() {
+                        let _ = tell.send(());
+                    }
+                }
+            }
+        }
+    }
+
+    fn take(
+        &mut self, said: Said, inputs: &mut Vec<Input>,
+        winding: &mut Option<(tokio::time::Instant, oneshot::Sender<()>)>,
+    ) {
+        match said {
+            Said::Handed(context, tell) => {
+                let id = self.core.next_id();
+                self.answers.insert(id, tell);
+                inputs.push(Input::Handed { id, context });
+            }
+            Said::Happened(input) => inputs.push(input),
+            Said::WindUp(tell) => *winding = Some((tokio::time::Instant::now(), tell)),
+        }
+    }
+
+    /// Returns a withdrawal where the client has not waited for its answer.
+    fn carry_out(&mut self, order: Order) -> Option<Input> {
+        match order {
+            Order::Answer(id, answer) => {
+                let tell = self.answers.remove(&id)?;
+                return tell.send(answer).is_err().then_some(Input::Withdrawn(id));
+            }
+            Order::Try(one) => drop(self.tries.send(Work::Try(one))),
+            Order::GiveUp { id, attempt } => drop(self.tries.send(Work::GiveUp { id, attempt })),
+            Order::Release(host) => drop(self.tries.send(Work::Release(host))),
+            Order::Notice(notice) => drop(self.notices.send(notice)),
+        }
+        None
+    }
+}
+
+/// When winding up has its next step.
+fn next_step(since: tokio::time::Instant) -> tokio::time::Instant {
+    let steps = [CONNECTIONS_FOR, TRIES_FOR, GONE_BY].map(|d| since + d);
+    let now = tokio::time::Instant::now();
+    steps.into_iter().find(|s| *s > now).unwrap_or(now + Duration::from_millis(50))
+}
+
+async fn sleep_until(at: Option<tokio::time::Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -254,6 +254,15 @@
     pub deadline: Nanos,
 }
 
+/// What a message has behind it that an earlier process of this relay had taken on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Past {
+    /// Attempts made.
+    pub tries: u32,
+    /// When, and to a host of which zone, the first attempt that may have run was sent.
+    pub maybe: Option<(Nanos, usize)>,
+}
+
 /// An attempt that ended. Each send has exactly one.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
@@ -285,6 +294,8 @@
     ListFailed,
     /// A message was handed in.
     Message(Message),
+    /// A message that is still owed its end after a restart; in the order in which they were taken.
+    Resumed(Message, Past),
     /// An attempt ended.
     Ended(Ended),
     /// The client has withdrawn the message.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,7 @@
 //! [`Action::Fail`], and then the module sends nothing more for it.
 //!
 //! A restart loses everything: make a new `Balancer` and hand in the list of hosts first. Messages that the old
-//! one held are the clients' to hand in again.
+//! one held are the clients' to hand in again, or, where the relay kept them, come as [`Event::Resumed`].
 //!
 //! ```
 //! use micaladder::*;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -352,6 +352,7 @@
                 self.log("list not to be had: asking again", None);
             }
             Event::Message(m) => self.accept(m),
+            Event::Resumed(m, past) => self.resume(m, past),
             Event::Ended(e) => self.ended(e),
             Event::Gone(id) => self.finish(*id),
             // A timer may fire a little early, by rounding of clocks: what it was for is armed anew.
@@ -406,6 +407,17 @@
         self.open += 1;
     }
 
+    /// Guards "no double effect" and the most tries across restarts: what is gone is as if seen here. What may
+    /// not go again is answered by `expire`.
+    fn resume(&mut self, m: &Message, past: &Past) {
+        self.accept(m);
+        let Some(msg) = self.msgs.get_mut(&m.id) else { return };
+        (msg.tries, msg.maybe) = (past.tries, past.maybe);
+        if past.tries >= self.set.most_tries {
+            self.answer(m.id, 1.0);
+        }
+    }
+
     fn ended(&mut self, e: &Ended) {
         let (id, now) = (e.id, self.now);
         let Some(msg) = self.msgs.get_mut(&id) else { return };
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,50 @@
+//! The daemon: wires its parts together and sees them through start and stop.
+#![forbid(unsafe_code)]
+mod client;
+mod clock;
+mod core;
+mod discovery;
+mod exchange;
+mod journal;
+mod logger;
+mod notices;
+mod settings;
+mod upstream;
+
+use std::error::Error;
+use std::process::ExitCode;
+use tokio::signal::unix::{signal, SignalKind};
+
+fn main() -> ExitCode {
+    logger::install();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    match runtime.map_err(Into::into).and_then(|r| r.block_on(run())) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            log::error!("cannot go on: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<(), Box<dyn Error>> {
+    let config = settings::Config::from_env()?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let (journal, records) = journal::Journal::open(&config.state, config.disk)?;
+    let core = core::Core::new(&config, journal, records, clock::now());
+    let (exchange, exchange::Works { tries, notices }) = exchange::Exchange::new(core);
+    exchange.regroup(true, discovery::members(&config.site, &config.known));
+    tokio::spawn(upstream::run(config.site.clone(), exchange.clone(), tries));
+    tokio::spawn(notices::run(config.discovery.clone(), exchange.clone(), notices));
+    tokio::spawn(discovery::run(config.clone(), exchange.clone()));
+    let listener = tokio::net::TcpListener::bind(config.listen).await?;
+    log::info!("ready: {} listens on {}", config.name, config.listen);
+    let front = client::platform::routes(config.site.clone(), exchange.clone());
+    let serving = tokio::spawn(client::serve(listener, front, exchange.closing()));
+    terminate.recv().await;
+    log::info!("told to end: finishing calls");
+    exchange.wind_up().await;
+    let _ = tokio::time::timeout(client::LAST_ANSWERS, serving).await;
+    log::info!("ended");
+    Ok(())
+}
--- /dev/null
+++ b/src/notices.rs
@@ -0,0 +1,54 @@
+//! Notices to the platform: what was taken on and is not delivered. Sent again until they are answered.
+use crate::core::Notice;
+use crate::exchange::Exchange;
+use crate::journal::End;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// How long an answer is waited for, and the pause before the next attempt.
+const ANSWER_FOR: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Sends notices as they come; those that come together travel together.
+pub async fn run(discovery: String, exchange: Exchange, mut notices: UnboundedReceiver<Notice>) {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    while let Some(first) = notices.recv().await {
+        let mut batch = vec![first];
+        while let Ok(next) = notices.try_recv() {
+            batch.push(next);
+        }
+        let text: Bytes = batch.iter().map(line).collect::<String>().into();
+        loop {
+            let request = Request::post(format!("http://{discovery}/reports"))
+                .header("content-type", "application/x-ndjson")
+                .body(Full::new(text.clone()));
+            let Ok(request) = request else { break log::error!("notices: no address to send to") };
+            match tokio::time::timeout(ANSWER_FOR, client.request(request)).await {
+                Ok(Ok(answer)) if answer.status() == StatusCode::NO_CONTENT => break,
+                Ok(Ok(answer)) if answer.status() == StatusCode::BAD_REQUEST => {
+                    // It would be refused again for ever, and hold up all that come after it.
+                    break log::error!("notices: the platform cannot read {text:?}");
+                }
+                Ok(Ok(answer)) => log::warn!("notices: answered {}, sent again", answer.status()),
+                Ok(Err(e)) => log::warn!("notices: {e}, sent again"),
+                Err(_) => log::warn!("notices: no answer, sent again"),
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        batch.iter().for_each(|n| exchange.notice_heard(n.id));
+    }
+}
+
+fn line(notice: &Notice) -> String {
+    let id = miniserde::json::to_string(&notice.name);
+    match notice.end {
+        End::Deferred(Some(ms)) => format!("{{\"id\":{id},\"status\":\"deferred\",\"again_ms\":{ms}}}\n"),
+        End::Deferred(None) => format!("{{\"id\":{id},\"status\":\"deferred\"}}\n"),
+        _ => format!("{{\"id\":{id},\"status\":\"undeliverable\"}}\n"),
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,264 @@
+//! The configuration and the settings in it: read once, into the few values that the program uses.
+use micaladder::{Class, Effect, Fade, Group, Kind, Nanos, Settings, Weights};
+use miniserde::{json, Deserialize};
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+/// What the forwarder is told at its start.
+#[derive(Clone)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: String,
+    pub state: PathBuf,
+    /// Bytes that the lasting folder may hold.
+    pub disk: u64,
+    pub seed: u64,
+    pub known: GroupUpdate,
+    pub site: Arc<Site>,
+}
+
+/// The settings: the module's, and the names that the wires use.
+pub struct Site {
+    pub module: Settings,
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub connect_timeout: Nanos,
+}
+
+/// Discovery's word on the upstream group: all of it, or what changed.
+#[derive(Deserialize, Clone)]
+pub struct GroupUpdate {
+    pub rev: u64,
+    pub all: bool,
+    pub targets: Vec<Target>,
+}
+
+/// One endpoint as discovery lists it.
+#[derive(Deserialize, Clone)]
+pub struct Target {
+    pub uid: String,
+    pub endpoint: String,
+    pub az: Option<String>,
+    pub model: Option<String>,
+    pub pod_group: u64,
+    pub state: String,
+    pub capacity_hint: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: String,
+    discovery: String,
+    seed: String,
+    limits: Limits,
+    known: GroupUpdate,
+    settings: Conf,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    disk_mb: f64,
+}
+
+#[derive(Deserialize)]
+struct Conf {
+    classes: Vec<ConfClass>,
+    #[serde(rename = "familyInfo")]
+    family_info: Info,
+    fees: Fees,
+    flavors: Vec<String>,
+    limits: ConfLimits,
+    localities: Vec<String>,
+    #[serde(rename = "myZone")]
+    my_zone: Option<u32>,
+    #[serde(rename = "nInstances")]
+    n_instances: u32,
+    #[serde(rename = "overShareWorth")]
+    over_share_worth: Option<f64>,
+    #[serde(rename = "registryMode")]
+    registry_mode: Option<String>,
+    reporting: Option<Reporting>,
+    #[serde(rename = "resolutionNs")]
+    resolution_ns: u64,
+    rules: Rules,
+    tenants: Vec<Tenant>,
+    #[serde(rename = "weightKind")]
+    weight_kind: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct ConfClass {
+    name: String,
+    #[serde(rename = "aimNs")]
+    aim_ns: u64,
+    #[serde(rename = "deadlineNs")]
+    deadline_ns: u64,
+    effect: String,
+    #[serde(rename = "fifoByKey")]
+    fifo_by_key: Option<bool>,
+    group: Option<String>,
+    #[serde(rename = "lateShare")]
+    late_share: f64,
+    points: f64,
+    #[serde(rename = "windowNs")]
+    window_ns: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct Info {
+    fades: Option<String>,
+    #[serde(rename = "kindApart")]
+    kind_apart: Vec<bool>,
+    #[serde(rename = "perCall")]
+    per_call: Vec<u32>,
+    #[serde(rename = "routeFee")]
+    route_fee: Option<Vec<f64>>,
+    workers: u32,
+}
+
+#[derive(Deserialize)]
+struct Fees {
+    #[serde(rename = "crossZone")]
+    cross_zone: f64,
+    handshake: f64,
+}
+
+#[derive(Deserialize)]
+struct ConfLimits {
+    #[serde(rename = "connIdleNs")]
+    conn_idle_ns: u64,
+    #[serde(rename = "connectTimeoutNs")]
+    connect_timeout_ns: u64,
+    #[serde(rename = "maxRetryAfterNs")]
+    max_retry_after_ns: u64,
+    #[serde(rename = "mayCancel")]
+    may_cancel: bool,
+    #[serde(rename = "mostTries")]
+    most_tries: u32,
+    #[serde(rename = "openCap")]
+    open_cap: u32,
+    #[serde(rename = "retryAfter")]
+    retry_after: bool,
+}
+
+#[derive(Deserialize)]
+struct Reporting {
+    source: String,
+}
+
+#[derive(Deserialize)]
+struct Rules {
+    #[serde(rename = "coldFrom")]
+    cold_from: f64,
+    #[serde(rename = "fallMultiple")]
+    fall_multiple: f64,
+    #[serde(rename = "mustAskInNs")]
+    must_ask_in_ns: Option<u64>,
+    #[serde(rename = "orderPauseNs")]
+    order_pause_ns: Option<u64>,
+    #[serde(rename = "rampTimeNs")]
+    ramp_time_ns: u64,
+    #[serde(rename = "tipAfterNs")]
+    tip_after_ns: u64,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    name: String,
+    #[serde(rename = "quotaRps")]
+    quota_rps: f64,
+}
+
+impl Config {
+    /// Reads the file that the environment names; the environment's own words come first.
+    pub fn from_env() -> Result<Config, Box<dyn Error>> {
+        let var = |name: &str| std::env::var(name).ok();
+        let path = var("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+        let file: File = json::from_str(&text).map_err(|_| format!("{path}: not a configuration"))?;
+        let listen = var("RELAY_LISTEN").unwrap_or(file.listen);
+        Ok(Config {
+            name: var("RELAY_NAME").unwrap_or(file.name),
+            listen: listen.parse().map_err(|e| format!("listen address {listen}: {e}"))?,
+            discovery: var("RELAY_DISCOVERY").unwrap_or(file.discovery),
+            state: var("RELAY_STATE").ok_or("RELAY_STATE is not set")?.into(),
+            disk: (file.limits.disk_mb * 1e6) as u64,
+            seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed {}: {e}", file.seed))?,
+            known: file.known,
+            site: Arc::new(site(file.settings)),
+        })
+    }
+}
+
+fn class(c: &ConfClass) -> Class {
+    let group = if c.group.as_deref() == Some("all") { Group::All } else { Group::Zone };
+    Class {
+        aim: Nanos(c.aim_ns),
+        deadline: Nanos(c.deadline_ns),
+        points: c.points,
+        late_share: c.late_share,
+        effect: match c.effect.as_str() {
+            "repeatable" => Effect::Repeatable,
+            "by_key" => Effect::Keyed { group, window: Nanos(c.window_ns.unwrap_or(0)) },
+            _ => Effect::Once,
+        },
+        fifo_by_key: c.fifo_by_key == Some(true),
+    }
+}
+
+fn site(c: Conf) -> Site {
+    let info = &c.family_info;
+    let kind = |i: usize| Kind {
+        apart: info.kind_apart.get(i).copied().unwrap_or(false),
+        per_call: info.per_call.get(i).map_or(1, |n| *n as usize).max(1),
+    };
+    let source = c.reporting.as_ref().map(|r| r.source.as_str());
+    let module = Settings {
+        slots: info.workers as usize,
+        open_cap: c.limits.open_cap as usize,
+        most_tries: c.limits.most_tries,
+        relays: c.n_instances as usize,
+        tick: Nanos(c.resolution_ns),
+        classes: c.classes.iter().map(class).collect(),
+        kinds: (0..c.flavors.len().max(info.kind_apart.len())).map(kind).collect(),
+        fade: if info.fades.as_deref() == Some("halves") { Fade::Halves } else { Fade::Line },
+        tenant_quota: c.tenants.iter().map(|t| t.quota_rps).collect(),
+        over_share_worth: c.over_share_worth.unwrap_or(1.0),
+        zone: c.my_zone.unwrap_or(0) as usize,
+        route_fee: info.route_fee.clone().unwrap_or_default(),
+        cross_fee: c.fees.cross_zone,
+        handshake_fee: c.fees.handshake,
+        conn_idle: Nanos(c.limits.conn_idle_ns),
+        // On these sockets a connection carries one call at a time, whatever the simulator's figure says.
+        streams: 1,
+        retry_after: c.limits.retry_after.then_some(Nanos(c.limits.max_retry_after_ns)),
+        may_cancel: c.limits.may_cancel,
+        must_ask: (c.registry_mode.as_deref() == Some("on_request"))
+            .then_some(Nanos(c.rules.must_ask_in_ns.unwrap_or(0))),
+        limits_told: source == Some("inline"),
+        weights: match c.weight_kind.as_deref() {
+            Some("nominal") => Weights::Nominal,
+            Some("rough") => Weights::Rough,
+            _ => Weights::Off,
+        },
+        cold_from: c.rules.cold_from,
+        ramp: Nanos(c.rules.ramp_time_ns),
+        fall_multiple: c.rules.fall_multiple,
+        fall_after: Nanos(c.rules.tip_after_ns),
+        order_pause: Nanos(c.rules.order_pause_ns.unwrap_or(0)),
+    };
+    Site {
+        module,
+        classes: c.classes.into_iter().map(|c| c.name).collect(),
+        tenants: c.tenants.into_iter().map(|t| t.name).collect(),
+        zones: c.localities,
+        kinds: c.flavors,
+        connect_timeout: Nanos(c.limits.connect_timeout_ns),
+    }
+}
