--- a/src/logic.rs
+++ b/src/logic.rs
@@ -407,8 +407,8 @@
         self.open += 1;
     }
 
-    /// Guards "no double effect" and the most tries across restarts: what is gone is as if seen here. What may
-    /// not go again is answered by `expire`.
+    /// Guards "no double effect" and the most tries across restarts: what is past counts as if seen here.
+    /// What may not go again is answered by `expire`.
     fn resume(&mut self, m: &Message, past: &Past) {
         self.accept(m);
         let Some(msg) = self.msgs.get_mut(&m.id) else { return };
