--- a/src/client/platform.rs
+++ b/src/client/platform.rs
@@ -52,6 +52,7 @@
             }
             answer
         }
+        Answer::Unknown => StatusCode::NOT_FOUND.into_response(),
         Answer::Failed => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
     }
 }
--- a/src/core.rs
+++ b/src/core.rs
@@ -35,6 +35,8 @@
     Delivered,
     /// Coming again is harmless, after this time if told.
     Reject(Option<Nanos>),
+    /// No member of the upstream group is for its dest.
+    Unknown,
     Failed,
 }
 
@@ -339,7 +341,9 @@
         } else if self.names.contains_key(&context.name) {
             // The same request once more, over a connection that crossed its answer: it is held already.
             Answer::Taken
-        } else if !self.dests.contains(&context.dest) || context.deadline <= self.now {
+        } else if !self.dests.contains(&context.dest) {
+            Answer::Unknown
+        } else if context.deadline <= self.now {
             Answer::Failed
         } else if open >= self.settings.open_cap {
             Answer::Reject(self.settings.retry_after.map(|top| Nanos::from_secs(1.0).min(top)))
--- /dev/null
+++ b/tests/forwarder.rs
@@ -0,0 +1,239 @@
+//! The real program as a process, met by a client, endpoints and discovery.
+mod stand;
+use rstest::rstest;
+use stand::*;
+use std::io::{BufReader, Write};
+use std::time::Duration;
+
+fn one(endpoint: &Server) -> (Server, String) {
+    let known = list(1, &[(7, endpoint.addr)]);
+    (discovery(known.clone()), known)
+}
+
+#[test]
+fn a_message_is_taken_on_and_passed_on_unchanged() {
+    let endpoint = Server::always("200 OK");
+    let (disco, known) = one(&endpoint);
+    let daemon = setup(&disco, known).start();
+    assert_eq!(daemon.hand_in("sync", "a1"), 202);
+    let call = endpoint.wait_id("a1");
+    assert_eq!(call.first.trim(), "POST /v1/messages HTTP/1.1");
+    assert_eq!(call.header("idempotency-key"), Some("key-a1"));
+    assert_eq!(call.text(), "body of a1");
+    let left = call.header("x-deadline").and_then(|d| d.strip_suffix('m')).expect("in milliseconds");
+    assert!((1..=20_000).contains(&left.parse::<u64>().expect("a number")), "{left}");
+    assert!(!disco.heard().iter().any(|h| h.first.starts_with("POST")), "delivered: no notice");
+}
+
+/// Bad input is a plain 4xx, and the program goes on.
+#[rstest]
+#[case::no_id("X-Request-Id: b", "X-Other: b", 400)]
+#[case::no_deadline("X-Deadline", "X-Other", 400)]
+#[case::bad_deadline("20000m", "soon", 400)]
+#[case::deadline_unit("20000m", "20000s", 400)]
+#[case::passed("20000m", "0m", 410)]
+#[case::tenant("X-Tenant: t", "X-Tenant: nobody", 400)]
+#[case::class_and_path("X-Class: stats", "X-Class: payout", 400)]
+#[case::no_dest("dest=7", "dest=", 400)]
+#[case::path("POST /stats", "POST /a/b/c", 404)]
+#[case::method("POST /stats", "PATCH /stats", 405)]
+#[case::not_text("X-Tenant: t", "X-Tenant: \u{e9}", 400)]
+#[case::too_big("Content-Length: 9", "Content-Length: 70000", 413)]
+fn bad_input_is_told_so(#[case] from: &str, #[case] to: &str, #[case] status: u16) {
+    let endpoint = Server::always("200 OK");
+    let (disco, known) = one(&endpoint);
+    let mut daemon = setup(&disco, known).start();
+    let text = String::from_utf8(message("stats", "b", "20000m", "")).expect("text");
+    assert!(text.contains(from));
+    let mut bytes = text.replace(from, to).into_bytes();
+    if status == 413 {
+        bytes.extend(vec![b'x'; 70_000]);
+    }
+    assert_eq!(daemon.ask(&bytes).map(|h| h.status()), Some(status));
+    assert!(daemon.runs());
+    assert_eq!(daemon.hand_in("stats", "good"), 202);
+}
+
+#[test]
+fn unknown_classes_and_dests_fail_and_broken_lists_are_passed_over() {
+    let endpoint = Server::always("200 OK");
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = discovery("{\"rev\": what".into());
+    let daemon = setup(&disco, known).start();
+    daemon.wait_log("passed over a line that is no list");
+    assert_eq!(daemon.hand_in("nothing", "c1"), 404);
+    let text = String::from_utf8(message("stats", "c2", "20000m", "")).expect("text");
+    let status = daemon.ask(text.replace("dest=7", "dest=8").as_bytes()).map(|h| h.status());
+    assert_eq!(status, Some(404));
+    assert_eq!(daemon.hand_in("stats", "c3"), 202);
+}
+
+/// What each answer of an endpoint means for a message that must not run twice.
+#[rstest]
+#[case::error("500 Oops", "", 1)]
+#[case::void("410 Gone", "", 0)]
+fn a_payout_that_may_have_run_is_undeliverable(
+    #[case] status: &'static str, #[case] head: &'static str, #[case] notices: usize,
+) {
+    let endpoint =
+        Server::start(move |h, _| if h.id() == "p1" { say(status, head, "") } else { say("200 OK", "", "") });
+    let (disco, known) = one(&endpoint);
+    let daemon = setup(&disco, known).start();
+    assert_eq!(daemon.hand_in("payout", "p1"), 202);
+    endpoint.wait_id("p1");
+    if notices > 0 {
+        disco.wait_text(r#"{"id":"p1","status":"undeliverable"}"#);
+    }
+    assert_eq!(daemon.hand_in("payout", "p2"), 202);
+    endpoint.wait_id("p2");
+    assert_eq!(endpoint.heard().iter().filter(|h| h.id() == "p1").count(), 1);
+    assert_eq!(disco.heard().iter().filter(|h| h.text().contains("p1")).count(), notices);
+}
+
+#[test]
+fn a_call_that_breaks_after_its_last_byte_may_have_run() {
+    let endpoint = Server::start(|_, _| Reply::Cut);
+    let (disco, known) = one(&endpoint);
+    let daemon = setup(&disco, known).start();
+    assert_eq!(daemon.hand_in("payout", "r1"), 202);
+    disco.wait_text(r#"{"id":"r1","status":"undeliverable"}"#);
+    assert_eq!(endpoint.heard().len(), 1);
+}
+
+#[test]
+fn one_turned_away_is_sent_again_after_the_told_wait() {
+    let endpoint = Server::start(|_, n| match n {
+        0 => say("429 Later", "Retry-After: 0.3\r\n", ""),
+        _ => say("200 OK", "", ""),
+    });
+    let (disco, known) = one(&endpoint);
+    let daemon = setup(&disco, known).start();
+    let start = std::time::Instant::now();
+    assert_eq!(daemon.hand_in("payout", "w1"), 202);
+    endpoint.wait("a second call", |all| all.len() == 2);
+    assert!(start.elapsed() >= Duration::from_millis(300));
+}
+
+#[test]
+fn messages_past_the_open_cap_are_rejected_with_a_time_to_come_back() {
+    let endpoint = Server::start(|_, _| Reply::Hold(String::new()));
+    let (disco, known) = one(&endpoint);
+    let daemon = Setup { open_cap: 4, ..setup(&disco, known) }.start();
+    let hand_in = |n| daemon.ask(&message("payout", &format!("o{n}"), "20000m", "")).expect("an answer");
+    let answers: Vec<Heard> = (0..6).map(hand_in).collect();
+    let statuses: Vec<u16> = answers.iter().map(Heard::status).collect();
+    assert_eq!(statuses, [202, 202, 202, 503, 503, 503]);
+    assert!(answers[3..].iter().all(|h| h.header("retry-after").is_some()));
+}
+
+/// Killed outright with one call out: what that call may have done decides what comes of the message.
+#[rstest]
+#[case::payout("payout", false)]
+#[case::sync("sync", true)]
+#[case::stats("stats", true)]
+fn what_was_out_at_a_kill_may_have_run(#[case] class: &str, #[case] again: bool) {
+    let endpoint =
+        Server::start(|_, n| if n == 0 { Reply::Hold(String::new()) } else { say("200 OK", "", "") });
+    let (disco, known) = one(&endpoint);
+    let mut daemon = setup(&disco, known).start();
+    assert_eq!(daemon.hand_in(class, "k1"), 202);
+    endpoint.wait_id("k1");
+    daemon.kill();
+    daemon.start_again();
+    if again {
+        endpoint.wait("a second call", |all| all.len() == 2);
+    } else {
+        disco.wait_text(r#"{"id":"k1","status":"undeliverable"}"#);
+        assert_eq!(endpoint.heard().len(), 1);
+    }
+}
+
+#[test]
+fn a_key_keeps_its_order_across_a_kill_and_a_torn_journal_is_read_up_to_the_tear() {
+    let endpoint =
+        Server::start(|_, n| if n == 0 { Reply::Hold(String::new()) } else { say("200 OK", "", "") });
+    let (disco, known) = one(&endpoint);
+    let mut daemon = setup(&disco, known).start();
+    for id in ["q1", "q2", "q3"] {
+        assert_eq!(daemon.ask(&message("sync", id, "20000m", "X-Key: 5\r\n")).map(|h| h.status()), Some(202));
+    }
+    endpoint.wait_id("q1");
+    daemon.kill();
+    let journal = daemon.folder.join("state").join("journal");
+    let mut held = std::fs::read(&journal).expect("the journal");
+    held.extend([9, 0, 0, 0, 1, 2, 3]);
+    std::fs::write(&journal, held).expect("torn");
+    daemon.start_again();
+    assert!(daemon.log().contains("torn tail of 7 bytes"));
+    let all = endpoint.wait("all three", |all| all.iter().any(|h| h.id() == "q3"));
+    let ids: Vec<&str> = all.iter().map(Heard::id).collect();
+    assert_eq!(ids, ["q1", "q1", "q2", "q3"]);
+}
+
+#[test]
+fn a_notice_is_sent_until_it_is_answered_and_its_key_waits_for_that() {
+    let endpoint =
+        Server::start(|h, _| if h.id() == "n1" { say("500 Oops", "", "") } else { say("200 OK", "", "") });
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = Server::start(|h, n| match h.first.starts_with("POST") {
+        true if n < 3 => Reply::Cut,
+        true => say("204 No Content", "", ""),
+        false => Reply::Hold("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\n\n\r\n".into()),
+    });
+    let daemon = setup(&disco, known).start();
+    // Six tries all fail, so it is given up; the next of its key follows the answer to that notice.
+    assert_eq!(daemon.ask(&message("sync", "n1", "6000m", "X-Key: 5\r\n")).map(|h| h.status()), Some(202));
+    assert_eq!(daemon.ask(&message("sync", "n2", "20000m", "X-Key: 5\r\n")).map(|h| h.status()), Some(202));
+    endpoint.wait_id("n2");
+    assert!(disco.heard().iter().filter(|h| h.text().contains("n1")).count() >= 2);
+}
+
+#[test]
+fn a_repeat_of_a_delivered_message_is_answered_as_delivered_also_after_a_kill() {
+    let endpoint = Server::always("200 OK");
+    let (disco, known) = one(&endpoint);
+    let mut daemon = setup(&disco, known).start();
+    assert_eq!(daemon.hand_in("sync", "d1"), 202);
+    daemon.wait_log("try 0 of d1: Ok");
+    assert_eq!(daemon.hand_in("sync", "d1"), 200);
+    daemon.kill();
+    daemon.start_again();
+    let renamed = String::from_utf8(message("sync", "d1", "20000m", "")).expect("text");
+    let renamed = renamed.replace("X-Request-Id: d1", "X-Request-Id: d2");
+    assert_eq!(daemon.ask(renamed.as_bytes()).map(|h| h.status()), Some(200));
+    assert_eq!(endpoint.heard().len(), 1);
+}
+
+#[test]
+fn a_full_journal_rejects_and_stays_inside_the_folder() {
+    let endpoint = Server::start(|_, _| Reply::Hold(String::new()));
+    let (disco, known) = one(&endpoint);
+    let daemon = Setup { disk_mb: 0.2, ..setup(&disco, known) }.start();
+    let big = |id: &str| {
+        let text = String::from_utf8(message("payout", id, "20000m", "")).expect("text");
+        let (head, _) = text.split_once("Content-Length").expect("a head");
+        let body = "x".repeat(30_000);
+        format!("{head}Content-Length: 30000\r\n\r\n{body}")
+    };
+    let answers: Vec<u16> =
+        (0..6).map(|n| daemon.ask(big(&format!("f{n}")).as_bytes()).map_or(0, |h| h.status())).collect();
+    assert_eq!(answers[..2], [202, 202]);
+    assert_eq!(answers[2..], [503; 4]);
+    let size = std::fs::metadata(daemon.folder.join("state").join("journal")).expect("it is there").len();
+    assert!(size < 100_000, "{size}");
+}
+
+#[test]
+fn told_to_end_it_answers_finishes_its_calls_and_goes_in_time() {
+    let endpoint = Server::always("200 OK");
+    let (disco, known) = one(&endpoint);
+    let mut daemon = setup(&disco, known).start();
+    let mut kept = daemon.connect();
+    daemon.terminate();
+    daemon.wait_log("told to end");
+    assert_eq!(daemon.hand_in("stats", "e1"), 202);
+    kept.write_all(&message("stats", "e2", "20000m", "")).expect("written");
+    assert_eq!(read_http(&mut BufReader::new(kept)).map(|h| h.status()), Some(202));
+    endpoint.wait_id("e2");
+    assert!(daemon.wait_end(Duration::from_millis(3700)).success());
+}
--- /dev/null
+++ b/tests/stand/mod.rs
@@ -0,0 +1,339 @@
+//! The one helper of the tests that start the real program: its stand-in servers, its client, its process.
+#![allow(dead_code)]
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long any awaited event may take before the test fails.
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+/// One HTTP request or answer, as read from a socket.
+#[derive(Clone, Debug, Default)]
+pub struct Heard {
+    pub first: String,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Heard {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|l| l.split_once(':'));
+        lines.filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim()).next()
+    }
+    pub fn id(&self) -> &str {
+        self.header("x-request-id").unwrap_or_default()
+    }
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Reads one message; none if the connection ended before it.
+pub fn read_http(reader: &mut impl BufRead) -> Option<Heard> {
+    let mut heard = Heard::default();
+    reader.read_line(&mut heard.first).ok().filter(|n| *n > 0)?;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        if line.trim().is_empty() {
+            break;
+        }
+        heard.head.push_str(&line);
+    }
+    let size = heard.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    heard.body.resize(size, 0);
+    reader.read_exact(&mut heard.body).ok()?;
+    Some(heard)
+}
+
+/// What a stand-in server does with a request.
+pub enum Reply {
+    /// Writes this and keeps the connection.
+    Say(String),
+    /// Writes this and holds the connection open.
+    Hold(String),
+    /// Closes the connection without a word.
+    Cut,
+}
+
+pub fn say(status: &str, headers: &str, body: &str) -> Reply {
+    Reply::Say(format!("HTTP/1.1 {status}\r\n{headers}content-length: {}\r\n\r\n{body}", body.len()))
+}
+
+/// A stand-in server: answers as it is told, and remembers what it heard.
+#[derive(Clone)]
+pub struct Server {
+    pub addr: SocketAddr,
+    heard: Arc<(Mutex<Vec<Heard>>, Condvar)>,
+}
+
+impl Server {
+    /// `reply` gets each request and its number, from 0.
+    pub fn start(reply: impl Fn(&Heard, usize) -> Reply + Send + Sync + 'static) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = listener.local_addr().expect("its address");
+        let server = Server { addr, heard: Default::default() };
+        let (mine, reply) = (server.clone(), Arc::new(reply));
+        thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                let (server, reply) = (mine.clone(), reply.clone());
+                thread::spawn(move || server.converse(socket, &*reply));
+            }
+        });
+        server
+    }
+
+    /// An endpoint that gives every call this answer.
+    pub fn always(status: &'static str) -> Server {
+        Server::start(move |_, _| say(status, "", ""))
+    }
+
+    fn converse(&self, mut socket: TcpStream, reply: &dyn Fn(&Heard, usize) -> Reply) {
+        let mut reader = BufReader::new(socket.try_clone().expect("a handle"));
+        while let Some(heard) = read_http(&mut reader) {
+            let number = {
+                let mut all = self.heard.0.lock().expect("lock");
+                all.push(heard.clone());
+                all.len() - 1
+            };
+            self.heard.1.notify_all();
+            match reply(&heard, number) {
+                Reply::Say(text) => drop(socket.write_all(text.as_bytes())),
+                Reply::Hold(text) => {
+                    let _ = socket.write_all(text.as_bytes());
+                    let _ = reader.read_to_end(&mut Vec::new());
+                }
+                Reply::Cut => {
+                    let _ = socket.shutdown(Shutdown::Both);
+                    break;
+                }
+            }
+        }
+    }
+
+    pub fn heard(&self) -> Vec<Heard> {
+        self.heard.0.lock().expect("lock").clone()
+    }
+
+    /// Waits until what was heard fits.
+    pub fn wait(&self, what: &str, fits: impl Fn(&[Heard]) -> bool) -> Vec<Heard> {
+        let all = self.heard.0.lock().expect("lock");
+        let (all, late) = self.heard.1.wait_timeout_while(all, PATIENCE, |all| !fits(all)).expect("lock");
+        assert!(!late.timed_out(), "waited in vain for {what}; heard {all:#?}");
+        all.clone()
+    }
+
+    pub fn wait_id(&self, id: &str) -> Heard {
+        let all = self.wait(id, |all| all.iter().any(|h| h.id() == id));
+        all.into_iter().find(|h| h.id() == id).expect("it was heard")
+    }
+
+    /// Waits for a notice or answer that carries this text.
+    pub fn wait_text(&self, text: &str) -> Heard {
+        let all = self.wait(text, |all| all.iter().any(|h| h.text().contains(text)));
+        all.into_iter().find(|h| h.text().contains(text)).expect("it was heard")
+    }
+}
+
+/// Discovery with this list, which answers notices with 204.
+pub fn discovery(list: String) -> Server {
+    Server::start(move |heard, _| match heard.first.split(' ').next() {
+        Some("POST") => say("204 No Content", "", ""),
+        _ => {
+            let line = format!("{list}\n");
+            Reply::Hold(format!(
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n",
+                line.len()
+            ))
+        }
+    })
+}
+
+pub fn list(rev: u64, endpoints: &[(u64, SocketAddr)]) -> String {
+    let target = |(i, (dest, addr)): (usize, &(u64, SocketAddr))| {
+        format!(
+            r#"{{"uid":"s-{i}","endpoint":"{addr}","az":"z","model":"k","pod_group":{dest},"state":"Ready","capacity_hint":50.0,"boot_ms":0}}"#
+        )
+    };
+    let targets: Vec<String> = endpoints.iter().enumerate().map(target).collect();
+    format!(r#"{{"rev":{rev},"all":true,"targets":[{}]}}"#, targets.join(","))
+}
+
+/// Classes of the test site: `sync` is keyed and in order, `stats` repeatable, `payout` once.
+const SETTINGS: &str = r#"{"classes":[
+ {"aimNs":1000000000,"deadlineNs":24000000000,"effect":"by_key","fifoByKey":true,"group":"all","lateShare":0.5,"name":"sync","points":1.0,"windowNs":25000000000},
+ {"aimNs":1000000000,"deadlineNs":16000000000,"effect":"repeatable","group":"all","lateShare":0.5,"name":"stats","points":2.0,"windowNs":5000000000},
+ {"aimNs":1000000000,"deadlineNs":20000000000,"effect":"once","group":"all","lateShare":0.3,"name":"payout","points":5.0,"windowNs":5000000000}],
+ "familyInfo":{"fades":"halves","kindApart":[false],"perCall":[1],"routeFee":[0.0],"workers":6},
+ "fees":{"crossZone":0.0,"handshake":0.02},"flavors":["k"],"localities":["z"],"myZone":0,"nInstances":1,
+ "limits":{"connIdleNs":15000000000,"connectTimeoutNs":1000000000,"maxRetryAfterNs":2000000000,"mayCancel":true,"mostTries":6,"openCap":OPENCAP,"retryAfter":true},
+ "overShareWorth":0.2,"registryMode":"pushed","reporting":{"names":[],"source":"off"},"resolutionNs":5000000,
+ "rules":{"coldFrom":0.2,"fallMultiple":2.0,"mustAskInNs":10000000000,"orderPauseNs":0,"rampTimeNs":9000000000,"tipAfterNs":1500000000},
+ "tenants":[{"name":"t","quotaRps":15.0,"share":1.0}],"weightKind":"nominal"}"#;
+
+/// The real program, its configuration and its lasting folder.
+pub struct Daemon {
+    pub addr: SocketAddr,
+    pub folder: PathBuf,
+    discovery: SocketAddr,
+    child: Child,
+    log: Arc<(Mutex<String>, Condvar)>,
+    extra: Vec<(String, String)>,
+}
+
+pub struct Setup<'a> {
+    pub discovery: &'a Server,
+    pub known: String,
+    pub open_cap: u32,
+    pub disk_mb: f64,
+    pub env: Vec<(String, String)>,
+}
+
+pub fn setup(discovery: &Server, known: String) -> Setup<'_> {
+    Setup { discovery, known, open_cap: 100, disk_mb: 3.0, env: Vec::new() }
+}
+
+impl Setup<'_> {
+    pub fn start(self) -> Daemon {
+        let name = format!("micaladder-{}-{}", std::process::id(), free_port());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(folder.join("state")).expect("a folder");
+        let port = free_port();
+        let addr: SocketAddr = ([127, 0, 0, 1], port).into();
+        let config = format!(
+            r#"{{"name":"n0","listen":"{addr}","discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":{}}},"known":{},"settings":{}}}"#,
+            self.discovery.addr,
+            self.disk_mb,
+            self.known,
+            SETTINGS.replace("OPENCAP", &self.open_cap.to_string())
+        );
+        std::fs::write(folder.join("config.json"), config).expect("its configuration");
+        let (child, log) = launch(&folder, &self.env);
+        let daemon = Daemon { addr, folder, discovery: self.discovery.addr, child, log, extra: self.env };
+        daemon.wait_log("ready:");
+        daemon
+    }
+}
+
+fn free_port() -> u16 {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").port()
+}
+
+type Log = Arc<(Mutex<String>, Condvar)>;
+
+fn launch(folder: &std::path::Path, env: &[(String, String)]) -> (Child, Log) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_micaladder"))
+        .env("RELAY_CONFIG", folder.join("config.json"))
+        .env("RELAY_STATE", folder.join("state"))
+        .env("MICALADDER_LOG", "debug")
+        .envs(env.iter().map(|(k, v)| (k, v)))
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let log: Log = Default::default();
+    let (mine, lines) = (log.clone(), BufReader::new(child.stderr.take().expect("piped")));
+    thread::spawn(move || {
+        for line in lines.lines().map_while(Result::ok) {
+            mine.0.lock().expect("lock").push_str(&(line + "\n"));
+            mine.1.notify_all();
+        }
+    });
+    (child, log)
+}
+
+impl Daemon {
+    pub fn wait_log(&self, text: &str) -> String {
+        let log = self.log.0.lock().expect("lock");
+        let (log, late) = self.log.1.wait_timeout_while(log, PATIENCE, |l| !l.contains(text)).expect("lock");
+        assert!(!late.timed_out(), "waited in vain for {text:?} in the log:\n{log}");
+        log.clone()
+    }
+
+    pub fn log(&self) -> String {
+        self.log.0.lock().expect("lock").clone()
+    }
+
+    /// SIGKILL, with nothing said before.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("it ran");
+        self.child.wait().expect("it ended");
+    }
+
+    /// Whether the process still runs: a crash is none that a test may pass over.
+    pub fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    pub fn start_again(&mut self) {
+        (self.child, self.log) = launch(&self.folder, &self.extra);
+        self.wait_log("ready:");
+    }
+
+    /// SIGTERM.
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
+    }
+
+    pub fn wait_end(&mut self, within: Duration) -> std::process::ExitStatus {
+        let until = Instant::now() + within;
+        loop {
+            match self.child.try_wait().expect("its state") {
+                Some(status) => return status,
+                None => assert!(Instant::now() < until, "it has not ended in {within:?}"),
+            }
+            thread::yield_now();
+        }
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let socket = TcpStream::connect(self.addr).expect("it listens");
+        socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        socket
+    }
+
+    /// Sends this text on a connection of its own and reads the answer.
+    pub fn ask(&self, text: &[u8]) -> Option<Heard> {
+        let mut socket = self.connect();
+        match socket.write_all(text) {
+            Err(e) if e.kind() != ErrorKind::BrokenPipe && e.kind() != ErrorKind::ConnectionReset => {
+                panic!("{e}")
+            }
+            _ => read_http(&mut BufReader::new(socket)),
+        }
+    }
+
+    /// Hands in a message for dest 7 and gives the status of the answer.
+    pub fn hand_in(&self, class: &str, id: &str) -> u16 {
+        self.ask(&message(class, id, "20000m", "")).map_or(0, |h| h.status())
+    }
+}
+
+/// A message for dest 7; `more` holds further header lines.
+pub fn message(class: &str, id: &str, deadline: &str, more: &str) -> Vec<u8> {
+    let body = format!("body of {id}");
+    format!(
+        "POST /{class} HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: {id}\r\nX-Class: {class}\r\nX-Tenant: t\r\n\
+         X-Deadline: {deadline}\r\nIdempotency-Key: key-{id}\r\nX-Envelope: dest=7\r\n{more}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if thread::panicking() {
+            eprintln!("log of the program, discovery at {}:\n{}", self.discovery, self.log());
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
