Speak AS2 on the same core: signed and encrypted messages, receipts at once or later

Saw: banks that exchange AS2 had no way in or out. Added src/as2 (partners' file, S/MIME with the RustCrypto crates, receipts), the front client/as2 and the encoding upstream/as2; deploy/as2.json has it off. A request may carry an origin; then its front hears of every end, also across restarts, and passes it on as the one final receipt. Receipts meet their tries in the exchange. Checked: tests/as2.rs against a stand-in bank whose S/MIME is openssl's: signed, encrypted, warned, failed, forged, other digest, cut off, silent, late, killed forwarder; each payout reached the bank once and had one end. Concluded: a receipt counts only if the partner signed it for this message and digest; a silent partner may have run the message.

--- /dev/null
+++ b/src/as2/mod.rs
@@ -0,0 +1,132 @@
+//! What both sides of the AS2 front share (RFC 4130): its partners, S/MIME and receipts.
+pub mod mdn;
+pub mod smime;
+
+use crate::core::Member;
+use der::DecodePem;
+use micaladder::Listed;
+use miniserde::{json, Deserialize};
+use smime::Identity;
+use std::error::Error;
+use std::path::Path;
+use x509_cert::Certificate;
+
+/// Where the file lies, unless `MICALADDER_AS2` names another.
+const FILE: &str = "deploy/as2.json";
+const PREFIX: &str = "as2:";
+
+/// The AS2 front's file. It is off unless `enabled` says otherwise.
+#[derive(Deserialize)]
+struct File {
+    enabled: bool,
+    listen: String,
+    name: String,
+    key: String,
+    certificate: String,
+    receipt_url: String,
+    partners: Vec<FilePartner>,
+}
+
+#[derive(Deserialize)]
+struct FilePartner {
+    name: String,
+    certificate: String,
+    /// Messages to this partner: where, to which of our dests, how many a second.
+    url: Option<String>,
+    dest: Option<u64>,
+    rate: Option<f64>,
+    encrypt: Option<bool>,
+    /// `sync` or `async`.
+    receipt: Option<String>,
+    /// Messages from this partner: what they are to us, and where their receipts go if they are asked for later.
+    class: Option<String>,
+    tenant: Option<String>,
+    forward_to: Option<u64>,
+    receipts_to: Option<String>,
+}
+
+/// The AS2 front's settings, read once.
+pub struct Book {
+    pub listen: String,
+    pub name: String,
+    pub me: Identity,
+    pub receipt_url: String,
+    pub partners: Vec<Partner>,
+}
+
+pub struct Partner {
+    pub name: String,
+    pub certificate: Certificate,
+    pub url: String,
+    pub dest: Option<u64>,
+    pub rate: f64,
+    pub encrypt: bool,
+    pub later: bool,
+    pub class: Option<String>,
+    pub tenant: Option<String>,
+    pub forward_to: Option<u64>,
+    pub receipts_to: Option<String>,
+}
+
+/// Reads the file; none if there is none or it says that the front is off.
+pub fn book() -> Result<Option<Book>, Box<dyn Error>> {
+    let path = std::env::var("MICALADDER_AS2").unwrap_or_else(|_| FILE.to_string());
+    let Ok(text) = std::fs::read_to_string(&path) else { return Ok(None) };
+    let file: File = json::from_str(&text).map_err(|_| format!("{path}: not a file of AS2 partners"))?;
+    if !file.enabled {
+        return Ok(None);
+    }
+    // Keys lie beside the file unless they say where.
+    let folder = Path::new(&path).parent().unwrap_or(Path::new("."));
+    let read =
+        |name: &str| std::fs::read_to_string(folder.join(name)).map_err(|e| format!("{path}: {name}: {e}"));
+    let certificate = |name: &str| -> Result<Certificate, Box<dyn Error>> {
+        Certificate::from_pem(read(name)?).map_err(|e| format!("{path}: {name}: {e}").into())
+    };
+    let me = Identity::new(&read(&file.key)?, certificate(&file.certificate)?)?;
+    let mut partners = Vec::new();
+    for p in file.partners {
+        partners.push(Partner {
+            certificate: certificate(&p.certificate)?,
+            name: p.name,
+            url: p.url.unwrap_or_default(),
+            dest: p.dest,
+            rate: p.rate.unwrap_or(0.0),
+            encrypt: p.encrypt.unwrap_or(false),
+            later: p.receipt.as_deref() == Some("async"),
+            class: p.class,
+            tenant: p.tenant,
+            forward_to: p.forward_to,
+            receipts_to: p.receipts_to,
+        });
+    }
+    let File { listen, name, receipt_url, .. } = file;
+    Ok(Some(Book { listen, name, me, receipt_url, partners }))
+}
+
+impl Book {
+    pub fn partner(&self, name: &str) -> Option<&Partner> {
+        self.partners.iter().find(|p| p.name == name)
+    }
+
+    /// Partners to which messages go, as members of the upstream group.
+    pub fn members(&self) -> Vec<Member> {
+        let member = |p: &Partner| {
+            Some(Member {
+                uid: format!("{PREFIX}{}", p.name),
+                address: format!("{PREFIX}{}", p.name),
+                zone: 0,
+                kind: 0,
+                dest: p.dest?,
+                state: Listed::Running,
+                rate: p.rate,
+            })
+        };
+        self.partners.iter().filter_map(member).collect()
+    }
+
+    /// The partner that an address of the upstream group stands for.
+    pub fn at(&self, address: &str) -> Option<&Partner> {
+        self.partner(address.strip_prefix(PREFIX)?)
+    }
+}
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -1,4 +1,5 @@
 //! Client connections: taken in, served and closed. What is said on them is each front's own.
+pub mod as2;
 pub mod platform;
 
 use axum::serve::ListenerExt;
--- a/src/client/platform.rs
+++ b/src/client/platform.rs
@@ -45,18 +45,21 @@
     match answer {
         Answer::Taken => StatusCode::ACCEPTED.into_response(),
         Answer::Delivered => StatusCode::OK.into_response(),
-        Answer::Reject(after) => {
-            let mut answer = StatusCode::SERVICE_UNAVAILABLE.into_response();
-            if let Some(value) = after.and_then(|a| format!("{:.3}", a.secs()).parse().ok()) {
-                answer.headers_mut().insert(RETRY_AFTER, value);
-            }
-            answer
-        }
+        Answer::Reject(after) => reject(after),
         Answer::Unknown => StatusCode::NOT_FOUND.into_response(),
         Answer::Failed => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
     }
 }
 
+/// Refused; coming again is harmless.
+pub fn reject(after: Option<Nanos>) -> Response {
+    let mut answer = StatusCode::SERVICE_UNAVAILABLE.into_response();
+    if let Some(value) = after.and_then(|a| format!("{:.3}", a.secs()).parse().ok()) {
+        answer.headers_mut().insert(RETRY_AFTER, value);
+    }
+    answer
+}
+
 type Fault = (StatusCode, &'static str);
 
 fn bad(why: &'static str) -> Fault {
--- a/src/core.rs
+++ b/src/core.rs
@@ -15,7 +15,8 @@
 pub struct RequestContext {
     /// What its client calls it.
     pub name: String,
-    /// The front through which it came; its notices go back there.
+    /// What the front through which it came needs to pass on its end; if set, it hears of every end, also of a
+    /// delivery. Empty on the platform.
     pub origin: String,
     pub class: usize,
     pub tenant: usize,
@@ -90,6 +91,8 @@
 pub struct Notice {
     pub id: MsgId,
     pub name: String,
+    /// The front that is to pass it on; empty for the platform's own.
+    pub origin: String,
     pub end: End,
 }
 
@@ -143,6 +146,8 @@
     names: HashMap<String, MsgId>,
     past: Vec<Gone>,
     hosts: Vec<Member>,
+    /// Members that discovery does not list.
+    standing: Vec<Member>,
     uids: HashMap<String, HostId>,
     dests: BTreeSet<u64>,
     /// Bytes that the journal must keep for what is owed.
@@ -157,7 +162,9 @@
 
 impl Core {
     /// Takes up what the journal says is still owed.
-    pub fn new(config: &Config, journal: Journal, records: Vec<Record>, now: Nanos) -> Core {
+    pub fn new(
+        config: &Config, standing: Vec<Member>, journal: Journal, records: Vec<Record>, now: Nanos,
+    ) -> Core {
         let settings = config.site.module.clone();
         let mut core = Core {
             balancer: Balancer::new(settings.clone(), config.seed),
@@ -167,6 +174,7 @@
             names: HashMap::new(),
             past: Vec::new(),
             hosts: Vec::new(),
+            standing,
             uids: HashMap::new(),
             dests: BTreeSet::new(),
             weight: 0,
@@ -260,7 +268,7 @@
         self.past.retain(|p| p.until > now);
         for (id, h) in &self.held {
             if let Some(end) = h.end {
-                self.orders.push(Order::Notice(h.notice(*id, end)));
+                self.orders.extend(owes_word(&h.context, end).then(|| Order::Notice(h.notice(*id, end))));
             } else {
                 let past = Past { tries: h.tries, maybe: h.maybe };
                 self.events.push(Event::Resumed(h.message(*id), past));
@@ -308,7 +316,8 @@
 
     fn group(&mut self, whole: bool, members: Vec<Member>) {
         let mut entries = Vec::new();
-        for m in members {
+        let standing = if whole { self.standing.clone() } else { Vec::new() };
+        for m in members.into_iter().chain(standing) {
             let fresh = HostId(self.hosts.len() as u32);
             let host = *self.uids.entry(m.uid.clone()).or_insert(fresh);
             self.dests.insert(m.dest);
@@ -490,7 +499,7 @@
         }
         self.write(Record::Ended { id: id.0, at: now.0, end });
         self.remember(&context, now, end);
-        if matches!(end, End::Undeliverable | End::Deferred(_)) {
+        if owes_word(&context, end) {
             self.orders.push(Order::Notice(notice));
         }
         self.drop_if_done(id);
@@ -522,11 +531,7 @@
 
     fn drop_if_done(&mut self, id: MsgId) {
         let Some(h) = self.held.get(&id) else { return };
-        let told = match h.end {
-            None => false,
-            Some(End::Delivered | End::Withdrawn) => true,
-            Some(End::Undeliverable | End::Deferred(_)) => h.heard,
-        };
+        let told = h.end.is_some_and(|end| h.heard || !owes_word(&h.context, end));
         if told && h.out.is_none() {
             self.forget(id);
         }
@@ -569,6 +574,15 @@
     }
 }
 
+/// Whether somebody is still to be told of this end.
+fn owes_word(context: &RequestContext, end: End) -> bool {
+    match end {
+        End::Withdrawn => false,
+        End::Delivered => !context.origin.is_empty(),
+        End::Undeliverable | End::Deferred(_) => true,
+    }
+}
+
 impl Held {
     fn ran(&mut self, may_have_run: bool) {
         if let Some(out) = self.out.take() {
@@ -595,7 +609,7 @@
     }
 
     fn notice(&self, id: MsgId, end: End) -> Notice {
-        Notice { id, name: self.context.name.clone(), end }
+        Notice { id, name: self.context.name.clone(), origin: self.context.origin.clone(), end }
     }
 
     fn taken(&self, id: MsgId) -> Taken {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -2,6 +2,7 @@
 //! the server side takes tries and notices from it and brings their outcomes back. Neither knows the other.
 use crate::clock;
 use crate::core::{Answer, Core, Input, Member, Notice, Order, RequestContext, Try};
+use bytes::Bytes;
 use micaladder::{HostId, MsgId, Outcome};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -15,9 +16,14 @@
 /// New connections still come for 0.4 s after SIGTERM.
 const CONNECTIONS_FOR: Duration = Duration::from_millis(500);
 
+/// Words waited for, beyond which those of ended tries are forgotten.
+const EXPECTED_MOST: usize = 1024;
+
 enum Said {
     Handed(RequestContext, oneshot::Sender<Answer>),
     Happened(Input),
+    Expect(String, oneshot::Sender<Bytes>),
+    Word(String, Bytes),
     WindUp(oneshot::Sender<()>),
 }
 
@@ -37,7 +43,9 @@
 /// The ends of the exchange from which work is taken.
 pub struct Works {
     pub tries: UnboundedReceiver<Work>,
+    /// Notices to the platform, and those that other fronts pass on.
     pub notices: UnboundedReceiver<Notice>,
+    pub words: UnboundedReceiver<Notice>,
 }
 
 impl Exchange {
@@ -46,10 +54,19 @@
         let (said, hear) = unbounded_channel();
         let (tries_in, tries) = unbounded_channel();
         let (notices_in, notices) = unbounded_channel();
+        let (words_in, words) = unbounded_channel();
         let (close, closing) = watch::channel(false);
-        let desk = Desk { core, answers: BTreeMap::new(), tries: tries_in, notices: notices_in, close };
+        let desk = Desk {
+            core,
+            answers: BTreeMap::new(),
+            expected: BTreeMap::new(),
+            tries: tries_in,
+            notices: notices_in,
+            words: words_in,
+            close,
+        };
         tokio::spawn(desk.run(hear));
-        (Exchange { said, closing }, Works { tries, notices })
+        (Exchange { said, closing }, Works { tries, notices, words })
     }
 
     /// Hands a request in. A caller that drops this before its answer withdraws the request.
@@ -71,6 +88,18 @@
         self.say(Said::Happened(Input::NoticeHeard(id)));
     }
 
+    /// Waits for a word that comes by way of a client connection: a receipt for what a try sent.
+    pub fn expect(&self, topic: &str) -> oneshot::Receiver<Bytes> {
+        let (tell, word) = oneshot::channel();
+        self.say(Said::Expect(topic.to_string(), tell));
+        word
+    }
+
+    /// Brings such a word.
+    pub fn word(&self, topic: String, word: Bytes) {
+        self.say(Said::Word(topic, word));
+    }
+
     /// Lets calls finish; returns when the process may end.
     pub async fn wind_up(&self) {
         let (tell, done) = oneshot::channel();
@@ -92,8 +121,10 @@
 struct Desk {
     core: Core,
     answers: BTreeMap<MsgId, oneshot::Sender<Answer>>,
+    expected: BTreeMap<String, oneshot::Sender<Bytes>>,
     tries: UnboundedSender<Work>,
     notices: UnboundedSender<Notice>,
+    words: UnboundedSender<Notice>,
     close: watch::Sender<bool>,
 }
 
@@ -150,6 +181,20 @@
                 inputs.push(Input::Handed { id, context });
             }
             Said::Happened(input) => inputs.push(input),
+            Said::Expect(topic, tell) => {
+                if self.expected.len() >= EXPECTED_MOST {
+                    self.expected.retain(|_, tell| !tell.is_closed());
+                }
+                self.expected.insert(topic, tell);
+            }
+            // A word that comes too late changes nothing: the try has had its outcome.
+            Said::Word(topic, word) => match self.expected.remove(&topic).map(|tell| tell.send(word)) {
+                Some(Ok(())) => {}
+                Some(Err(_)) => log::warn!("receipt for {topic} after its try had ended: changes nothing"),
+                None => {
+                    log::warn!("receipt for {topic}, which no try of this process waits for: changes nothing")
+                }
+            },
             Said::WindUp(tell) => *winding = Some((tokio::time::Instant::now(), tell)),
         }
     }
@@ -164,7 +209,8 @@
             Order::Try(one) => drop(self.tries.send(Work::Try(one))),
             Order::GiveUp { id, attempt } => drop(self.tries.send(Work::GiveUp { id, attempt })),
             Order::Release(host) => drop(self.tries.send(Work::Release(host))),
-            Order::Notice(notice) => drop(self.notices.send(notice)),
+            Order::Notice(notice) if notice.origin.is_empty() => drop(self.notices.send(notice)),
+            Order::Notice(notice) => drop(self.words.send(notice)),
         }
         None
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,6 @@
 //! The daemon: wires its parts together and sees them through start and stop.
 #![forbid(unsafe_code)]
+mod as2;
 mod client;
 mod clock;
 mod core;
@@ -13,6 +14,7 @@
 
 use std::error::Error;
 use std::process::ExitCode;
+use std::sync::Arc;
 use tokio::signal::unix::{signal, SignalKind};
 
 fn main() -> ExitCode {
@@ -31,12 +33,21 @@
     let config = settings::Config::from_env()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let (journal, records) = journal::Journal::open(&config.state, config.disk)?;
-    let core = core::Core::new(&config, journal, records, clock::now());
-    let (exchange, exchange::Works { tries, notices }) = exchange::Exchange::new(core);
+    let book = as2::book()?.map(Arc::new);
+    let standing = book.as_ref().map(|b| b.members()).unwrap_or_default();
+    let core = core::Core::new(&config, standing, journal, records, clock::now());
+    let (exchange, exchange::Works { tries, notices, words }) = exchange::Exchange::new(core);
     exchange.regroup(true, discovery::members(&config.site, &config.known));
-    tokio::spawn(upstream::run(config.site.clone(), exchange.clone(), tries));
+    tokio::spawn(upstream::run(config.site.clone(), book.clone(), exchange.clone(), tries));
     tokio::spawn(notices::run(config.discovery.clone(), exchange.clone(), notices));
     tokio::spawn(discovery::run(config.clone(), exchange.clone()));
+    if let Some(book) = book {
+        let listener = tokio::net::TcpListener::bind(&book.listen).await?;
+        log::info!("AS2 front listens on {}", book.listen);
+        tokio::spawn(client::as2::words(book.clone(), exchange.clone(), words));
+        let front = client::as2::Front { site: config.site.clone(), book, exchange: exchange.clone() };
+        tokio::spawn(client::serve(listener, client::as2::routes(front), exchange.closing()));
+    }
     let listener = tokio::net::TcpListener::bind(config.listen).await?;
     log::info!("ready: {} listens on {}", config.name, config.listen);
     let front = client::platform::routes(config.site.clone(), exchange.clone());
--- /dev/null
+++ b/src/upstream/as2.rs
@@ -0,0 +1,112 @@
+//! The AS2 encoding of a try: a signed message to a partner, and what its receipt means.
+use super::{platform, Ending, Pool};
+use crate::as2::mdn::{self, Meaning};
+use crate::as2::smime::{self, Entity};
+use crate::as2::{Book, Partner};
+use crate::core::Try;
+use crate::exchange::Exchange;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::CONTENT_TYPE;
+use hyper::Request;
+use micaladder::Outcome;
+
+const RECEIPT_MOST: usize = 256 * 1024;
+
+type Fault = Box<dyn std::error::Error + Send + Sync>;
+
+/// The id that a message keeps in all its tries, so that the partner knows a repeat.
+fn message_id(name: &str, us: &str) -> String {
+    let plain = |c: char| if c.is_ascii_alphanumeric() || "._-".contains(c) { c } else { '-' };
+    format!("<{}@{us}>", name.chars().map(plain).collect::<String>())
+}
+
+/// Makes the call and waits for its receipt; dropping it closes its connection.
+pub async fn call(pool: &Pool, one: &Try, book: &Book, partner: &Partner, exchange: &Exchange) -> Ending {
+    let id = message_id(&one.context.name, &book.name);
+    let (request, mic) = match request(one, book, partner, &id) {
+        Ok(made) => made,
+        Err(e) => {
+            log::error!("AS2: message {id} to {} cannot be made: {e}", partner.name);
+            return Outcome::Moot.into();
+        }
+    };
+    // Known before the first byte goes out: a receipt may overtake the answer.
+    let word = exchange.expect(&id);
+    let (head, body) = match pool.request(request).await {
+        Ok(answer) => answer.into_parts(),
+        Err(e) => return platform::broken(&partner.url, &e),
+    };
+    if !head.status.is_success() {
+        return platform::ending(head.status, &head.headers);
+    }
+    let received = if partner.later {
+        word.await.ok()
+    } else {
+        let kind =
+            head.headers.get(CONTENT_TYPE).and_then(|t| t.to_str().ok()).unwrap_or_default().to_string();
+        match Limited::new(body, RECEIPT_MOST).collect().await {
+            Ok(text) => Some(as_text(&kind, &text.to_bytes())),
+            // Silent or gone before its receipt: it may have run.
+            Err(_) => return Outcome::Reset.into(),
+        }
+    };
+    judge(received.as_deref().unwrap_or_default(), &id, &mic, book, partner)
+}
+
+/// A received entity as one MIME text, its type in front.
+fn as_text(content_type: &str, body: &[u8]) -> Bytes {
+    [format!("Content-Type: {content_type}\r\n\r\n").as_bytes(), body].concat().into()
+}
+
+fn request(
+    one: &Try, book: &Book, partner: &Partner, id: &str,
+) -> Result<(Request<Full<Bytes>>, String), Fault> {
+    let mut part =
+        b"Content-Type: application/octet-stream\r\nContent-Transfer-Encoding: binary\r\n\r\n".to_vec();
+    part.extend_from_slice(&one.context.body);
+    let mic = smime::mic(&part);
+    let signed = smime::sign(&part, &book.me)?;
+    let entity = if partner.encrypt { smime::encrypt(&signed, &partner.certificate)? } else { signed };
+    let Entity { content_type, body } = entity;
+    let mut request = Request::post(&partner.url)
+        .header("as2-version", "1.2")
+        .header("as2-from", &book.name)
+        .header("as2-to", &partner.name)
+        .header("message-id", id)
+        .header("mime-version", "1.0")
+        .header("subject", "message")
+        .header(CONTENT_TYPE, content_type)
+        .header("disposition-notification-to", &book.receipt_url)
+        .header(
+            "disposition-notification-options",
+            "signed-receipt-protocol=required, pkcs7-signature; signed-receipt-micalg=required, sha-256",
+        );
+    if partner.later {
+        request = request.header("receipt-delivery-option", &book.receipt_url);
+    }
+    Ok((request.body(Full::new(body.into()))?, mic))
+}
+
+/// Only a receipt that the partner signed, for this message and with its digest, is a delivery.
+fn judge(text: &[u8], id: &str, mic: &str, book: &Book, partner: &Partner) -> Ending {
+    let fault = |why: &str, outcome: Outcome| {
+        log::warn!("AS2: message {id} to {}: {why}", partner.name);
+        Ending::from(outcome)
+    };
+    let Some(entity) = smime::split(text) else { return fault("no receipt came", Outcome::Error) };
+    let part = match smime::open(entity, &book.me, &partner.certificate) {
+        Ok(part) => part,
+        Err(why) => return fault(&format!("its receipt is not good: {}", why.words()), Outcome::Error),
+    };
+    match mdn::read(&part) {
+        None => fault("its receipt cannot be read", Outcome::Error),
+        Some(r) if r.message != id => fault("its receipt is for another message", Outcome::Error),
+        Some(r) => match r.meaning() {
+            Meaning::Processed if r.mic.as_deref() == Some(mic) => Outcome::Ok.into(),
+            Meaning::Processed => fault("its receipt has another digest", Outcome::Error),
+            Meaning::NeverRan => fault(&r.disposition, Outcome::Full(None)),
+            Meaning::MayHaveRun => fault(&r.disposition, Outcome::Error),
+        },
+    }
+}
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -1,6 +1,8 @@
 //! Tries on the wire: one task each, over pooled connections, one pool for each host.
+mod as2;
 mod platform;
 
+use crate::as2::Book;
 use crate::core::Try;
 use crate::exchange::{Exchange, Work};
 use crate::settings::Site;
@@ -48,7 +50,9 @@
 }
 
 /// Carries out tries as the exchange hands them over.
-pub async fn run(site: Arc<Site>, exchange: Exchange, mut works: UnboundedReceiver<Work>) {
+pub async fn run(
+    site: Arc<Site>, book: Option<Arc<Book>>, exchange: Exchange, mut works: UnboundedReceiver<Work>,
+) {
     let mut pools: BTreeMap<HostId, Pool> = BTreeMap::new();
     let mut out: BTreeMap<(MsgId, u32), AbortHandle> = BTreeMap::new();
     while let Some(work) = works.recv().await {
@@ -56,7 +60,7 @@
             Work::Try(one) => {
                 let pool = pools.entry(one.host).or_insert_with(|| pool(&site)).clone();
                 let place = (one.id, one.attempt);
-                let task = tokio::spawn(attempt(pool, one, exchange.clone()));
+                let task = tokio::spawn(attempt(pool, one, book.clone(), exchange.clone()));
                 out.retain(|_, handle| !handle.is_finished());
                 out.insert(place, task.abort_handle());
             }
@@ -73,9 +77,15 @@
     }
 }
 
-async fn attempt(pool: Pool, one: Try, exchange: Exchange) {
+async fn attempt(pool: Pool, one: Try, book: Option<Arc<Book>>, exchange: Exchange) {
     let limit = Duration::from_nanos(one.timeout.max(Nanos(1_000_000)).0);
-    let call = platform::call(&pool, &one);
+    let partner = book.as_ref().and_then(|b| Some((b, b.at(&one.address)?)));
+    let call = async {
+        match partner {
+            Some((book, partner)) => as2::call(&pool, &one, book, partner, &exchange).await,
+            None => platform::call(&pool, &one).await,
+        }
+    };
     let ending = tokio::time::timeout(limit, call).await.unwrap_or(Outcome::Timeout.into());
     log::debug!("try {} of {}: {:?}", one.attempt, one.context.name, ending.outcome);
     exchange.try_ended(one.id, one.attempt, ending.outcome, ending.over);
--- a/src/upstream/platform.rs
+++ b/src/upstream/platform.rs
@@ -36,21 +36,24 @@
             }
             ending(head.status, &head.headers)
         }
-        Err(e) => {
-            // Never ran: no connection came up, or the request was handed back before it was written. After
-            // that the last byte may have gone out, so the call may have run.
-            let unsent = e.is_connect() || cause(&e).is_some_and(|h| h.is_canceled());
-            log::debug!("{}: {e}", one.address);
-            if unsent { Outcome::ConnectFailed } else { Outcome::Reset }.into()
-        }
+        Err(e) => broken(&one.address, &e),
     }
 }
 
+/// Never ran: no connection came up, or the request was handed back before it was written. After that the last
+/// byte may have gone out, so the call may have run.
+pub fn broken(place: &str, e: &hyper_util::client::legacy::Error) -> Ending {
+    let unsent = e.is_connect() || cause(e).is_some_and(|h| h.is_canceled());
+    log::debug!("{place}: {e}");
+    if unsent { Outcome::ConnectFailed } else { Outcome::Reset }.into()
+}
+
 fn cause(e: &hyper_util::client::legacy::Error) -> Option<&hyper::Error> {
     std::error::Error::source(e)?.downcast_ref()
 }
 
-fn ending(status: StatusCode, headers: &HeaderMap) -> Ending {
+/// What an answer's head means.
+pub fn ending(status: StatusCode, headers: &HeaderMap) -> Ending {
     let outcome = match status.as_u16() {
         200 => Outcome::Ok,
         429 => Outcome::Full(wait(headers)),
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -126,8 +126,11 @@
     pub fn wait(&self, what: &str, fits: impl Fn(&[Heard]) -> bool) -> Vec<Heard> {
         let all = self.heard.0.lock().expect("lock");
         let (all, late) = self.heard.1.wait_timeout_while(all, PATIENCE, |all| !fits(all)).expect("lock");
-        assert!(!late.timed_out(), "waited in vain for {what}; heard {all:#?}");
-        all.clone()
+        let (now, late) = (all.clone(), late.timed_out());
+        drop(all);
+        let all = now;
+        assert!(!late, "waited in vain for {what}; heard {all:#?}");
+        all
     }
 
     pub fn wait_id(&self, id: &str) -> Heard {
@@ -222,7 +225,7 @@
     }
 }
 
-fn free_port() -> u16 {
+pub fn free_port() -> u16 {
     TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").port()
 }
 
@@ -252,8 +255,11 @@
     pub fn wait_log(&self, text: &str) -> String {
         let log = self.log.0.lock().expect("lock");
         let (log, late) = self.log.1.wait_timeout_while(log, PATIENCE, |l| !l.contains(text)).expect("lock");
-        assert!(!late.timed_out(), "waited in vain for {text:?} in the log:\n{log}");
-        log.clone()
+        let (text_now, late) = (log.clone(), late.timed_out());
+        drop(log);
+        let log = text_now;
+        assert!(!late, "waited in vain for {text:?} in the log:\n{log}");
+        log
     }
 
     pub fn log(&self) -> String {
@@ -294,20 +300,11 @@
     }
 
     pub fn connect(&self) -> TcpStream {
-        let socket = TcpStream::connect(self.addr).expect("it listens");
-        socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        socket
+        connect(self.addr)
     }
 
-    /// Sends this text on a connection of its own and reads the answer.
     pub fn ask(&self, text: &[u8]) -> Option<Heard> {
-        let mut socket = self.connect();
-        match socket.write_all(text) {
-            Err(e) if e.kind() != ErrorKind::BrokenPipe && e.kind() != ErrorKind::ConnectionReset => {
-                panic!("{e}")
-            }
-            _ => read_http(&mut BufReader::new(socket)),
-        }
+        ask(self.addr, text)
     }
 
     /// Hands in a message for dest 7 and gives the status of the answer.
@@ -316,6 +313,23 @@
     }
 }
 
+fn connect(addr: SocketAddr) -> TcpStream {
+    let socket = TcpStream::connect(addr).expect("it listens");
+    socket.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    socket
+}
+
+/// Sends this text on a connection of its own and reads the answer.
+pub fn ask(addr: SocketAddr, text: &[u8]) -> Option<Heard> {
+    let mut socket = connect(addr);
+    match socket.write_all(text) {
+        Err(e) if e.kind() != ErrorKind::BrokenPipe && e.kind() != ErrorKind::ConnectionReset => {
+            panic!("{e}")
+        }
+        _ => read_http(&mut BufReader::new(socket)),
+    }
+}
+
 /// A message for dest 7; `more` holds further header lines.
 pub fn message(class: &str, id: &str, deadline: &str, more: &str) -> Vec<u8> {
     let body = format!("body of {id}");
