Renew the AS2 listener's certificate by ACME, and let scripts see requests and outcomes

Saw: the AS2 listener spoke plain HTTP only, and operators had no hook. acme.rs orders by instant-acme (HTTP-01), swaps the certificate under the running listener, keeps it in the lasting folder, and leaves the old one in use when an order fails. plugins.rs runs rhai scripts with limits on steps, depth and sizes; a script that fails is logged and passed over. Scripts pass, reject, tag and observe; an endless one and one that does not parse change nothing.

--- a/src/as2/mod.rs
+++ b/src/as2/mod.rs
@@ -25,6 +25,19 @@
     certificate: String,
     receipt_url: String,
     partners: Vec<FilePartner>,
+    acme: Option<Acme>,
+}
+
+/// From whom the listener's TLS certificate comes. Without it, the listener speaks plain HTTP.
+#[derive(Deserialize, Clone)]
+pub struct Acme {
+    pub directory: String,
+    pub domain: String,
+    /// Where the authority finds the proof (HTTP-01).
+    pub challenge_listen: String,
+    /// Seconds from one renewal to the next, and after a failed one.
+    pub renew_s: f64,
+    pub retry_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -52,6 +65,7 @@
     pub me: Identity,
     pub receipt_url: String,
     pub partners: Vec<Partner>,
+    pub acme: Option<Acme>,
 }
 
 pub struct Partner {
@@ -100,8 +114,8 @@
             receipts_to: p.receipts_to,
         });
     }
-    let File { listen, name, receipt_url, .. } = file;
-    Ok(Some(Book { listen, name, me, receipt_url, partners }))
+    let File { listen, name, receipt_url, acme, .. } = file;
+    Ok(Some(Book { listen, name, me, receipt_url, partners, acme }))
 }
 
 impl Book {
--- a/src/client/as2.rs
+++ b/src/client/as2.rs
@@ -139,6 +139,7 @@
             dest: partner.forward_to?,
             deadline: clock::now() + rules.deadline,
             body: payload.into(),
+            tags: Vec::new(),
         })
     }
 
--- a/src/client/platform.rs
+++ b/src/client/platform.rs
@@ -106,6 +106,7 @@
         deadline: clock::now() + deadline.min(rules.deadline),
         repeat_key: repeat_key.to_string(),
         body,
+        tags: Vec::new(),
     })
 }
 
--- a/src/core.rs
+++ b/src/core.rs
@@ -1,7 +1,8 @@
 //! Request contexts, tries, outcomes and deadlines. Drives the decision module with all that happened in a
 //! moment, keeps the journal in step, and says what is to be done. It knows no wire.
 use crate::journal::{End, Journal, Record, Taken};
-use crate::settings::Config;
+use crate::plugins::{Plugins, Verdict};
+use crate::settings::{Config, Site};
 use bytes::Bytes;
 use micaladder::{
     Action, Balancer, DestId, Effect, Ended, Entry, Event, HostId, Listed, Message, MsgId, Nanos, Outcome,
@@ -26,6 +27,16 @@
     /// By which endpoints know repeats; empty where the class has none.
     pub repeat_key: String,
     pub body: Bytes,
+    /// Set by plug-ins; not kept across a restart.
+    pub tags: Vec<String>,
+}
+
+/// What plug-ins are told of a request beside its context.
+#[derive(Clone, Copy)]
+pub struct Outlook<'a> {
+    pub class: &'a str,
+    pub tenant: &'a str,
+    pub left: Nanos,
 }
 
 /// What a client is told of a request.
@@ -142,6 +153,8 @@
     settings: Settings,
     balancer: Balancer,
     journal: Journal,
+    plugins: Plugins,
+    site: Arc<Site>,
     held: BTreeMap<MsgId, Held>,
     names: HashMap<String, MsgId>,
     past: Vec<Gone>,
@@ -163,13 +176,16 @@
 impl Core {
     /// Takes up what the journal says is still owed.
     pub fn new(
-        config: &Config, standing: Vec<Member>, journal: Journal, records: Vec<Record>, now: Nanos,
+        config: &Config, standing: Vec<Member>, plugins: Plugins, journal: Journal, records: Vec<Record>,
+        now: Nanos,
     ) -> Core {
         let settings = config.site.module.clone();
         let mut core = Core {
             balancer: Balancer::new(settings.clone(), config.seed),
             settings,
             journal,
+            plugins,
+            site: config.site.clone(),
             held: BTreeMap::new(),
             names: HashMap::new(),
             past: Vec::new(),
@@ -228,6 +244,7 @@
                     deadline: Nanos(t.deadline),
                     repeat_key: t.repeat_key,
                     body: t.body,
+                    tags: Vec::new(),
                 };
                 self.keep(id, context);
             }
@@ -333,7 +350,7 @@
     }
 
     /// Decides what can be told at once; else hands the message to the module, and gives its id.
-    fn handed(&mut self, id: MsgId, context: RequestContext) -> Option<MsgId> {
+    fn handed(&mut self, id: MsgId, mut context: RequestContext) -> Option<MsgId> {
         let known = |p: &&Gone| {
             let same_key = !p.repeat_key.is_empty() && p.repeat_key == context.repeat_key;
             p.name == context.name || p.delivered && same_key
@@ -359,17 +376,29 @@
         } else if self.weight + past + weight > self.journal.room() {
             log::warn!("reject: no room in the journal");
             Answer::Reject(self.settings.retry_after.map(|top| Nanos::from_secs(1.0).min(top)))
-        } else {
+        } else if let Verdict::Pass(tags) = self.plugins.request(&context, self.outlook(&context)) {
+            context.tags = tags;
             self.keep(id, context);
             if let Some(h) = self.held.get(&id) {
                 self.events.push(Event::Message(h.message(id)));
             }
             return Some(id);
+        } else {
+            log::info!("reject: a script's word on {}", context.name);
+            Answer::Reject(self.settings.retry_after.map(|top| Nanos::from_secs(1.0).min(top)))
         };
         self.orders.push(Order::Answer(id, answer));
         None
     }
 
+    fn outlook(&self, context: &RequestContext) -> Outlook<'_> {
+        Outlook {
+            class: self.site.classes.get(context.class).map_or("", String::as_str),
+            tenant: self.site.tenants.get(context.tenant).map_or("", String::as_str),
+            left: context.deadline - self.now,
+        }
+    }
+
     fn keep(&mut self, id: MsgId, context: RequestContext) {
         let weight = Journal::weight(&context.name, &context.repeat_key, context.body.len());
         self.weight += weight;
@@ -392,6 +421,8 @@
         let took = self.now - out.started;
         let may_have_run = !matches!(outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot);
         h.ran(may_have_run);
+        let context = h.context.clone();
+        self.plugins.outcome(&context, self.outlook(&context), &format!("{outcome:?}"));
         self.events.push(Event::Ended(Ended { id, attempt, outcome, over, took, report: None }));
         if outcome == Outcome::Ok || over {
             let end = if outcome == Outcome::Ok { End::Delivered } else { End::Withdrawn };
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,6 @@
 //! The daemon: wires its parts together and sees them through start and stop.
 #![forbid(unsafe_code)]
+mod acme;
 mod as2;
 mod client;
 mod clock;
@@ -9,6 +10,7 @@
 mod journal;
 mod logger;
 mod notices;
+mod plugins;
 mod settings;
 mod upstream;
 
@@ -35,7 +37,7 @@
     let (journal, records) = journal::Journal::open(&config.state, config.disk)?;
     let book = as2::book()?.map(Arc::new);
     let standing = book.as_ref().map(|b| b.members()).unwrap_or_default();
-    let core = core::Core::new(&config, standing, journal, records, clock::now());
+    let core = core::Core::new(&config, standing, plugins::Plugins::load(), journal, records, clock::now());
     let (exchange, exchange::Works { tries, notices, words }) = exchange::Exchange::new(core);
     exchange.regroup(true, discovery::members(&config.site, &config.known));
     tokio::spawn(upstream::run(config.site.clone(), book.clone(), exchange.clone(), tries));
@@ -45,8 +47,15 @@
         let listener = tokio::net::TcpListener::bind(&book.listen).await?;
         log::info!("AS2 front listens on {}", book.listen);
         tokio::spawn(client::as2::words(book.clone(), exchange.clone(), words));
-        let front = client::as2::Front { site: config.site.clone(), book, exchange: exchange.clone() };
-        tokio::spawn(client::serve(listener, client::as2::routes(front), exchange.closing()));
+        let (authority, site) = (book.acme.clone(), config.site.clone());
+        let front = client::as2::routes(client::as2::Front { site, book, exchange: exchange.clone() });
+        if let Some(authority) = authority {
+            let keeper = Arc::new(acme::Keeper::default());
+            tokio::spawn(acme::run(authority, config.state.clone(), keeper.clone()));
+            tokio::spawn(client::serve_tls(listener, keeper, front, exchange.closing()));
+        } else {
+            tokio::spawn(client::serve(listener, front, exchange.closing()));
+        }
     }
     let listener = tokio::net::TcpListener::bind(config.listen).await?;
     log::info!("ready: {} listens on {}", config.name, config.listen);
--- /dev/null
+++ b/src/plugins.rs
@@ -0,0 +1,112 @@
+//! Plug-ins: scripts (rhai) that see each request context and each outcome. `docs/plugins.md` tells how.
+use crate::core::{Outlook, RequestContext};
+use rhai::{CallFnOptions, Dynamic, Engine, Map, Scope, AST};
+use std::path::Path;
+
+const FOLDER: &str = "deploy/plugins";
+/// What one call of a script may use. A call takes well under a millisecond at the most.
+const STEPS_MOST: u64 = 10_000;
+const DEPTH_MOST: usize = 16;
+const TEXT_MOST: usize = 4096;
+const ITEMS_MOST: usize = 128;
+const TAGS_MOST: usize = 8;
+
+struct Script {
+    name: String,
+    ast: AST,
+}
+
+/// The scripts, in the order of their names.
+pub struct Plugins {
+    engine: Engine,
+    scripts: Vec<Script>,
+}
+
+/// What the scripts make of a request.
+pub enum Verdict {
+    Pass(Vec<String>),
+    Reject,
+}
+
+impl Plugins {
+    /// Reads the scripts of the folder, if there is one. One that cannot be read is passed over.
+    pub fn load() -> Plugins {
+        let folder = std::env::var("MICALADDER_PLUGINS").unwrap_or_else(|_| FOLDER.to_string());
+        let mut engine = Engine::new();
+        engine
+            .set_max_operations(STEPS_MOST)
+            .set_max_call_levels(DEPTH_MOST)
+            .set_max_expr_depths(32, 16)
+            .set_max_variables(64)
+            .set_max_string_size(TEXT_MOST)
+            .set_max_array_size(ITEMS_MOST)
+            .set_max_map_size(ITEMS_MOST)
+            .on_print(|text| log::info!("script: {text:.200}"))
+            .on_debug(|text, _, _| log::debug!("script: {text:.200}"));
+        let mut plugins = Plugins { engine, scripts: Vec::new() };
+        let files = std::fs::read_dir(&folder).into_iter().flatten().flatten().map(|f| f.path());
+        let mut files: Vec<_> = files.filter(|p| p.extension().is_some_and(|e| e == "rhai")).collect();
+        files.sort();
+        files.iter().for_each(|f| plugins.add(f));
+        plugins
+    }
+
+    fn add(&mut self, file: &Path) {
+        let name = file.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        match self.engine.compile_file(file.into()) {
+            Ok(ast) => {
+                log::info!("script {name} is in use");
+                self.scripts.push(Script { name, ast });
+            }
+            Err(e) => log::error!("script {name} passed over: {e}"),
+        }
+    }
+
+    /// Shows the scripts a request; the first that rejects it decides.
+    pub fn request(&self, context: &RequestContext, outlook: Outlook) -> Verdict {
+        let mut tags = Vec::new();
+        for said in self.call("on_request", |_| vec![Dynamic::from(facts(context, outlook))]) {
+            if said.clone().try_cast::<String>().is_some_and(|s| s == "reject") {
+                return Verdict::Reject;
+            }
+            let tag = said.try_cast::<Map>().and_then(|m| m.get("tag").cloned());
+            tags.extend(tag.map(|t| t.to_string()).filter(|_| tags.len() < TAGS_MOST));
+        }
+        Verdict::Pass(tags)
+    }
+
+    /// Shows the scripts how a try ended. What they say to that changes nothing.
+    pub fn outcome(&self, context: &RequestContext, outlook: Outlook, outcome: &str) {
+        let facts = |_: &Script| vec![facts(context, outlook).into(), outcome.to_string().into()];
+        self.call("on_outcome", facts).for_each(drop);
+    }
+
+    /// Guards the rules against scripts: one that fails, or uses too much, is logged and passed over.
+    fn call<'a>(
+        &'a self, function: &'a str, facts: impl Fn(&Script) -> Vec<Dynamic> + 'a,
+    ) -> impl Iterator<Item = Dynamic> + 'a {
+        let has = move |s: &&Script| s.ast.iter_functions().any(|f| f.name == function);
+        self.scripts.iter().filter(has).filter_map(move |s| {
+            let options = CallFnOptions::new().eval_ast(false);
+            let said =
+                self.engine.call_fn_with_options(options, &mut Scope::new(), &s.ast, function, facts(s));
+            said.inspect_err(|e| log::warn!("script {}: {function} passed over: {e}", s.name)).ok()
+        })
+    }
+}
+
+fn facts(context: &RequestContext, outlook: Outlook) -> Map {
+    let tags: Vec<Dynamic> = context.tags.iter().map(|t| t.clone().into()).collect();
+    [
+        ("name", context.name.clone().into()),
+        ("class", outlook.class.to_string().into()),
+        ("tenant", outlook.tenant.to_string().into()),
+        ("dest", Dynamic::from(context.dest as i64)),
+        ("size", Dynamic::from(context.body.len() as i64)),
+        ("left_ms", Dynamic::from((outlook.left.0 / 1_000_000) as i64)),
+        ("tags", tags.into()),
+    ]
+    .into_iter()
+    .map(|(k, v)| (k.into(), v))
+    .collect()
+}
--- /dev/null
+++ b/tests/plugins.rs
@@ -0,0 +1,40 @@
+//! Plug-ins in the real program: what they may decide, and that a faulty one breaks nothing.
+mod stand;
+use stand::*;
+
+const SCRIPTS: [(&str, &str); 4] = [
+    ("a_faulty.rhai", "fn on_request(r) { let x = []; loop { x.push(1); } }"),
+    ("b_broken.rhai", "fn on_request(r) { return "),
+    (
+        "c_reject.rhai",
+        r#"fn on_request(r) { if r.class == "stats" && r.name == "no" { "reject" } else { #{ tag: "seen-" + r.dest } } }"#,
+    ),
+    (
+        "d_observe.rhai",
+        r#"fn on_outcome(r, outcome) { print(r.name + " ended " + outcome + " " + r.tags[0]); throw "never mind"; }"#,
+    ),
+];
+
+#[test]
+fn scripts_pass_reject_tag_and_observe_and_faulty_ones_are_passed_over() {
+    let endpoint = Server::always("200 OK");
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = discovery(known.clone());
+    let folder = std::env::temp_dir().join(format!("plugins-{}-{}", std::process::id(), free_port()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    for (name, text) in SCRIPTS {
+        std::fs::write(folder.join(name), text).expect("a script");
+    }
+    let env = vec![("MICALADDER_PLUGINS".to_string(), folder.display().to_string())];
+    let mut daemon = Setup { env, ..setup(&disco, known) }.start();
+    let rejected = daemon.ask(&message("stats", "no", "20000m", "")).expect("an answer");
+    assert_eq!((rejected.status(), rejected.header("retry-after").is_some()), (503, true));
+    assert_eq!(daemon.hand_in("payout", "yes"), 202);
+    endpoint.wait_id("yes");
+    daemon.wait_log("script: yes ended Ok seen-7");
+    let log = daemon.wait_log("d_observe.rhai: on_outcome passed over");
+    assert!(log.contains("script b_broken.rhai passed over"), "{log}");
+    assert!(log.contains("script a_faulty.rhai: on_request passed over"), "{log}");
+    assert!(daemon.runs() && endpoint.heard().len() == 1);
+    let _ = std::fs::remove_dir_all(folder);
+}
