--- /dev/null
+++ b/examples/large-stats.rhai
@@ -0,0 +1,11 @@
+// Turns away statistics that are too large, and tags the rest. Try it with MICALADDER_PLUGINS=examples.
+fn on_request(request) {
+    if request.class == "stats-push" && request.size > 20000 {
+        return "reject";
+    }
+    #{ tag: "to-" + request.dest }
+}
+
+fn on_outcome(request, outcome) {
+    print(request.name + " " + request.tags + ": " + outcome);
+}
--- a/src/core.rs
+++ b/src/core.rs
@@ -149,6 +149,9 @@
 /// How long beyond its time a message that is over is remembered, in seconds.
 const REMEMBER: f64 = 2.0;
 
+/// How long a try may be held back for an earlier message's notice and still go as it was decided, in seconds.
+const HELD_BACK_MOST: f64 = 0.05;
+
 pub struct Core {
     settings: Settings,
     balancer: Balancer,
@@ -506,6 +509,22 @@
         for id in ids {
             let Some(h) = self.held.get_mut(&id) else { continue };
             let Some(out) = h.out.as_mut() else { continue };
+            if (self.now - out.started).secs() > HELD_BACK_MOST {
+                // Guards waits and drains: a word that came since may forbid what was decided before it. The
+                // module decides anew.
+                let (attempt, outcome, took) = (out.attempt, Outcome::Moot, Nanos(0));
+                h.out = None;
+                self.events.push(Event::Ended(Ended {
+                    id,
+                    attempt,
+                    outcome,
+                    over: false,
+                    took,
+                    report: None,
+                }));
+                self.wake = Some(self.now);
+                continue;
+            }
             (out.held_back, out.started) = (false, self.now);
             let (attempt, host, timeout, zone) = (out.attempt, out.host, out.timeout, out.zone as u32);
             let timeout = timeout.min(h.context.deadline - self.now);
