--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -100,18 +100,66 @@
     assert_eq!(endpoint.heard().len(), 1);
 }
 
-#[test]
-fn one_turned_away_is_sent_again_after_the_told_wait() {
-    let endpoint = Server::start(|_, n| match n {
-        0 => say("429 Later", "Retry-After: 0.3\r\n", ""),
-        _ => say("200 OK", "", ""),
-    });
+/// What never ran goes again, also a payout; after a told wait, not before its end.
+#[rstest]
+#[case::told_to_wait("429 Later", "Retry-After: 0.3\r\n", 300)]
+#[case::full("503 Full", "", 0)]
+#[case::no_slot("503 Full", "X-No-Slot: 1\r\n", 0)]
+#[case::tries_spent("504 Spent", "", 0)]
+fn one_that_never_ran_is_sent_again(
+    #[case] status: &'static str, #[case] head: &'static str, #[case] wait_ms: u64,
+) {
+    let endpoint =
+        Server::start(move |_, n| if n == 0 { say(status, head, "") } else { say("200 OK", "", "") });
     let (disco, known) = one(&endpoint);
     let daemon = setup(&disco, known).start();
     let start = std::time::Instant::now();
     assert_eq!(daemon.hand_in("payout", "w1"), 202);
     endpoint.wait("a second call", |all| all.len() == 2);
-    assert!(start.elapsed() >= Duration::from_millis(300));
+    assert!(start.elapsed() >= Duration::from_millis(wait_ms));
+    daemon.wait_log("try 1 of w1: Ok");
+    assert!(!disco.heard().iter().any(|h| h.text().contains("w1")), "delivered: no notice");
+}
+
+/// The list comes in chunks that end anywhere; a watch that ends or falls silent goes on after what is held.
+#[test]
+fn the_upstream_group_follows_split_chunks_and_watches_that_break() {
+    let (old, new) = (Server::always("200 OK"), Server::always("200 OK"));
+    let known = list(1, &[(7, old.addr)]);
+    let change = list(5, &[(7, old.addr), (7, new.addr)]).replacen("Ready", "Terminating", 1) + "\n";
+    let disco = Server::start(move |_, n| {
+        let (a, b) = change.split_at(70);
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        match n {
+            0 => Reply::Say(format!("{head}{:x}\r\n{a}\r\n{:x}\r\n{b}\r\n0\r\n\r\n", a.len(), b.len())),
+            _ => Reply::Hold(head.into()),
+        }
+    });
+    let daemon = setup(&disco, known).start();
+    daemon.wait_log("upstream group: version 5, 2 lines");
+    for id in ["g1", "g2", "g3"] {
+        assert_eq!(daemon.hand_in("stats", id), 202);
+        new.wait_id(id);
+    }
+    assert!(old.heard().is_empty(), "it drains");
+    let asked = disco.wait("a watch after one that ended, and one after a silent one", |all| all.len() >= 3);
+    let firsts: Vec<&str> = asked.iter().map(|h| h.first.split(' ').nth(1).unwrap_or_default()).collect();
+    assert_eq!(
+        firsts[..3],
+        ["/v1/endpoints?watch=1&after=1", "/v1/endpoints?watch=1&after=5", "/v1/endpoints?watch=1&after=5"]
+    );
+}
+
+/// A second hand-in over a connection that crossed its answer is the same message.
+#[test]
+fn the_same_request_twice_runs_once() {
+    let endpoint = Server::start(|_, _| Reply::Hold(String::new()));
+    let (disco, known) = one(&endpoint);
+    let daemon = setup(&disco, known).start();
+    assert_eq!((daemon.hand_in("payout", "t1"), daemon.hand_in("payout", "t1")), (202, 202));
+    assert_eq!(daemon.hand_in("payout", "t2"), 202);
+    endpoint.wait_id("t2");
+    assert_eq!(endpoint.heard().iter().filter(|h| h.id() == "t1").count(), 1);
 }
 
 #[test]
