Reload the configuration on SIGHUP and move the watch and the notices

Line at fault: main.rs, run: only SIGTERM was asked for. Now reload.rs reads the file again; discovery and notices follow the new address through a watch channel, a batch without an answer included. A file that cannot be used changes nothing and is logged; other changed keys are logged as needing a restart. So a variable stands before its key only where it differs from it at the start; then it still does after a reload. Without the handler all five tests of tests/reload.rs fail.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -1,15 +1,17 @@
 //! The watch on discovery, which fills the upstream group.
 use crate::core::Member;
 use crate::exchange::Exchange;
-use crate::settings::{Config, GroupUpdate, Site, Target};
+use crate::settings::{GroupUpdate, Site, Target};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use micaladder::Listed;
 use miniserde::json;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 /// An empty line is due every 2 s; after so long without one the watch is taken for dead.
@@ -22,22 +24,33 @@
 type Fault = Box<dyn std::error::Error + Send + Sync>;
 
 /// Watches for as long as the process runs; each new watch goes on from the version last held.
-pub async fn run(config: Config, exchange: Exchange) {
-    let mut rev = config.known.rev;
+pub async fn run(site: Arc<Site>, mut rev: u64, mut address: watch::Receiver<String>, exchange: Exchange) {
     loop {
-        if let Err(fault) = watch(&config, &exchange, &mut rev).await {
-            log::warn!("discovery: {fault}; watching again after version {rev}");
+        let at = address.borrow_and_update().clone();
+        tokio::select! {
+            Err(fault) = watch(&at, &site, &exchange, &mut rev) => {
+                log::warn!("discovery: {fault}; watching again after version {rev}");
+            }
+            // Guards against a word missed: the old place says nothing more, and the new one may count its
+            // versions in another way, so it is asked for the whole list.
+            Ok(()) = address.changed() => {
+                rev = 0;
+                continue;
+            }
+        }
+        tokio::select! {
+            () = tokio::time::sleep(PAUSE) => {}
+            Ok(()) = address.changed() => rev = 0,
         }
-        tokio::time::sleep(PAUSE).await;
     }
 }
 
-async fn watch(config: &Config, exchange: &Exchange, rev: &mut u64) -> Result<(), Fault> {
-    let socket = timeout(CONNECT_FOR, TcpStream::connect(&config.discovery)).await??;
+async fn watch(at: &str, site: &Site, exchange: &Exchange, rev: &mut u64) -> Result<(), Fault> {
+    let socket = timeout(CONNECT_FOR, TcpStream::connect(at)).await??;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(socket)).await?;
     tokio::spawn(connection);
     let request = Request::get(format!("/v1/endpoints?watch=1&after={rev}"))
-        .header("host", &config.discovery)
+        .header("host", at)
         .body(Empty::<Bytes>::new())?;
     let mut answer = timeout(SILENCE, sender.send_request(request)).await??;
     if answer.status() != StatusCode::OK {
@@ -50,7 +63,7 @@
         // A chunk may end anywhere: only whole lines are read.
         while let Some(end) = held.iter().position(|b| *b == b'\n') {
             let line: Vec<u8> = held.drain(..=end).collect();
-            take(&line, config, exchange, rev);
+            take(&line, site, exchange, rev);
         }
         if held.len() > LINE_MOST {
             return Err("a line without end".into());
@@ -59,7 +72,7 @@
     Err("the watch ended".into())
 }
 
-fn take(line: &[u8], config: &Config, exchange: &Exchange, rev: &mut u64) {
+fn take(line: &[u8], site: &Site, exchange: &Exchange, rev: &mut u64) {
     let text = String::from_utf8_lossy(line);
     if text.trim().is_empty() {
         return;
@@ -68,7 +81,7 @@
         Ok(update) => {
             *rev = update.rev;
             log::info!("upstream group: version {rev}, {} lines", update.targets.len());
-            exchange.regroup(update.all, members(&config.site, &update));
+            exchange.regroup(update.all, members(site, &update));
         }
         Err(_) => log::warn!("discovery: passed over a line that is no list: {:.80}", text.trim()),
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -84,7 +84,7 @@
 }
 
 /// A class of message.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Full worth when delivered within this time.
     pub aim: Nanos,
@@ -101,7 +101,7 @@
 }
 
 /// A kind of destination.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Kind {
     /// Its hosts are routes apart: each has its own limit, waits, pace and outages.
     pub apart: bool,
@@ -123,7 +123,7 @@
 
 /// What a relay is told at its start. A deployment without a feature leaves its field empty or zero, as the
 /// default does for all.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// Calls out at once.
     pub slots: usize,
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,6 +11,7 @@
 mod logger;
 mod notices;
 mod plugins;
+mod reload;
 mod settings;
 mod upstream;
 
@@ -34,6 +35,8 @@
 async fn run() -> Result<(), Box<dyn Error>> {
     let config = settings::Config::from_env()?;
     let mut terminate = signal(SignalKind::terminate())?;
+    // Before anything is ready: without a handler, a SIGHUP ends the process.
+    let hangup = signal(SignalKind::hangup())?;
     let (journal, records) = journal::Journal::open(&config.state, config.disk)?;
     let book = as2::book()?.map(Arc::new);
     let standing = book.as_ref().map(|b| b.members()).unwrap_or_default();
@@ -41,8 +44,10 @@
     let (exchange, exchange::Works { tries, notices, words }) = exchange::Exchange::new(core);
     exchange.regroup(true, discovery::members(&config.site, &config.known));
     tokio::spawn(upstream::run(config.site.clone(), book.clone(), exchange.clone(), tries));
-    tokio::spawn(notices::run(config.discovery.clone(), exchange.clone(), notices));
-    tokio::spawn(discovery::run(config.clone(), exchange.clone()));
+    let (moves, discovery) = tokio::sync::watch::channel(config.discovery.clone());
+    tokio::spawn(reload::run(config.clone(), hangup, moves));
+    tokio::spawn(notices::run(discovery.clone(), exchange.clone(), notices));
+    tokio::spawn(discovery::run(config.site.clone(), config.known.rev, discovery, exchange.clone()));
     if let Some(book) = book {
         let listener = tokio::net::TcpListener::bind(&book.listen).await?;
         log::info!("AS2 front listens on {}", book.listen);
--- a/src/notices.rs
+++ b/src/notices.rs
@@ -9,13 +9,16 @@
 use hyper_util::rt::TokioExecutor;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
 
 /// How long an answer is waited for, and the pause before the next attempt.
 const ANSWER_FOR: Duration = Duration::from_millis(500);
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Sends notices as they come; those that come together travel together.
-pub async fn run(discovery: String, exchange: Exchange, mut notices: UnboundedReceiver<Notice>) {
+pub async fn run(
+    mut discovery: watch::Receiver<String>, exchange: Exchange, mut notices: UnboundedReceiver<Notice>,
+) {
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
     while let Some(first) = notices.recv().await {
         let mut batch = vec![first];
@@ -23,12 +26,18 @@
             batch.push(next);
         }
         let text: Bytes = batch.iter().map(line).collect::<String>().into();
+        // Read anew for each attempt: after a reload, a batch that is still to be answered goes to the new place.
         loop {
-            let request = Request::post(format!("http://{discovery}/reports"))
+            let at = discovery.borrow_and_update().clone();
+            let request = Request::post(format!("http://{at}/reports"))
                 .header("content-type", "application/x-ndjson")
                 .body(Full::new(text.clone()));
             let Ok(request) = request else { break log::error!("notices: no address to send to") };
-            match tokio::time::timeout(ANSWER_FOR, client.request(request)).await {
+            let answer = tokio::select! {
+                answer = tokio::time::timeout(ANSWER_FOR, client.request(request)) => answer,
+                Ok(()) = discovery.changed() => continue,
+            };
+            match answer {
                 Ok(Ok(answer)) if answer.status() == StatusCode::NO_CONTENT => break,
                 Ok(Ok(answer)) if answer.status() == StatusCode::BAD_REQUEST => {
                     // It would be refused again for ever, and hold up all that come after it.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,4 +1,5 @@
-//! The configuration and the settings in it: read once, into the few values that the program uses.
+//! The configuration and the settings in it: read at the start and on SIGHUP, into what the program uses.
+use hyper::http::uri::Authority;
 use micaladder::{Class, Effect, Fade, Group, Kind, Nanos, Settings, Weights};
 use miniserde::{json, Deserialize};
 use std::error::Error;
@@ -18,9 +19,20 @@
     pub seed: u64,
     pub known: GroupUpdate,
     pub site: Arc<Site>,
+    path: String,
+    variables: Variables,
+}
+
+/// Variables that stand before keys of the file.
+#[derive(Clone)]
+struct Variables {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
 }
 
 /// The settings: the module's, and the names that the wires use.
+#[derive(PartialEq)]
 pub struct Site {
     pub module: Settings,
     pub classes: Vec<String>,
@@ -176,26 +188,68 @@
 }
 
 impl Config {
+    /// What a reload cannot change while the process runs, as far as `fresh` differs in it. `seed` and `known`
+    /// only count at a start.
+    pub fn fixed(&self, fresh: &Config) -> Vec<&'static str> {
+        let differs = [
+            ("name", self.name != fresh.name),
+            ("listen", self.listen != fresh.listen),
+            ("limits", self.disk != fresh.disk),
+            ("settings", self.site != fresh.site),
+        ];
+        differs.into_iter().filter(|d| d.1).map(|d| d.0).collect()
+    }
+
     /// Reads the file that the environment names; the environment's own words come first.
     pub fn from_env() -> Result<Config, Box<dyn Error>> {
         let var = |name: &str| std::env::var(name).ok();
         let path = var("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-        let file: File = json::from_str(&text).map_err(|_| format!("{path}: not a configuration"))?;
-        let listen = var("RELAY_LISTEN").unwrap_or(file.listen);
+        let state = var("RELAY_STATE").ok_or("RELAY_STATE is not set")?.into();
+        let file = read(&path)?;
+        // The platform sets the variables to what the file says. One that only repeats its key does not stand
+        // before it: after a reload the key's new value would never count.
+        let before = |name: &str, key: &String| var(name).filter(|v| v != key);
+        let variables = Variables {
+            name: before("RELAY_NAME", &file.name),
+            listen: before("RELAY_LISTEN", &file.listen),
+            discovery: before("RELAY_DISCOVERY", &file.discovery),
+        };
+        Config::new(path, state, file, variables)
+    }
+
+    /// The same file read again; variables that stood before its keys still do.
+    pub fn again(&self) -> Result<Config, Box<dyn Error>> {
+        Config::new(self.path.clone(), self.state.clone(), read(&self.path)?, self.variables.clone())
+    }
+
+    fn new(path: String, state: PathBuf, file: File, variables: Variables) -> Result<Config, Box<dyn Error>> {
+        let before = variables.clone();
+        let listen = before.listen.unwrap_or(file.listen);
+        let discovery = before.discovery.unwrap_or(file.discovery);
+        // Found here, and not by the first watch or notice that goes there: a reload must keep what works.
+        if discovery.parse::<Authority>().ok().and_then(|a| a.port_u16()).is_none() {
+            return Err(format!("discovery {discovery}: no address").into());
+        }
         Ok(Config {
-            name: var("RELAY_NAME").unwrap_or(file.name),
+            name: before.name.unwrap_or(file.name),
             listen: listen.parse().map_err(|e| format!("listen address {listen}: {e}"))?,
-            discovery: var("RELAY_DISCOVERY").unwrap_or(file.discovery),
-            state: var("RELAY_STATE").ok_or("RELAY_STATE is not set")?.into(),
+            discovery,
+            state,
             disk: (file.limits.disk_mb * 1e6) as u64,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed {}: {e}", file.seed))?,
             known: file.known,
             site: Arc::new(site(file.settings)),
+            path,
+            variables,
         })
     }
 }
 
+fn read(path: &str) -> Result<File, Box<dyn Error>> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
+    json::from_str(&text).map_err(|_| format!("{path}: not a configuration").into())
+}
+
 fn class(c: &ConfClass) -> Class {
     let group = if c.group.as_deref() == Some("all") { Group::All } else { Group::Zone };
     Class {
--- /dev/null
+++ b/tests/reload.rs
@@ -0,0 +1,59 @@
+//! SIGHUP: the configuration is read again while messages are under way.
+mod stand;
+use rstest::rstest;
+use stand::*;
+use std::io::{BufReader, Write};
+
+fn address(discovery: &Server) -> String {
+    format!("\"discovery\":\"{}\"", discovery.addr)
+}
+
+#[test]
+fn the_watch_and_the_notices_move_at_once_and_no_client_connection_is_dropped() {
+    let (before, after) = (Server::always("500 Oops"), Server::always("200 OK"));
+    let known = list(9, &[(7, before.addr)]);
+    let old = Server::start(|heard, _| match heard.first.starts_with("POST") {
+        true => Reply::Hold(String::new()),
+        false => Reply::Hold("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\n\n\r\n".into()),
+    });
+    let new = discovery(list(2, &[(7, after.addr)]).replace("s-0", "s-1"));
+    // The platform's variable repeats the key at the start. It must not hold the watch at the old place.
+    let env = vec![("RELAY_DISCOVERY".to_string(), old.addr.to_string())];
+    let mut daemon = Setup { env, ..setup(&old, known) }.start();
+    let mut kept = daemon.connect();
+    kept.write_all(&message("payout", "p1", "20000m", "")).expect("written");
+    let mut answers = BufReader::new(kept.try_clone().expect("a handle"));
+    assert_eq!(read_http(&mut answers).map(|h| h.status()), Some(202));
+    old.wait_text("p1");
+    daemon.reload(&address(&old), &address(&new));
+    // Its notice was without an answer at the old place.
+    new.wait_text(r#"{"id":"p1","status":"undeliverable"}"#);
+    daemon.wait_log("upstream group: version 2");
+    kept.write_all(&message("payout", "p2", "20000m", "")).expect("written");
+    assert_eq!(read_http(&mut answers).map(|h| h.status()), Some(202));
+    after.wait_id("p2");
+    assert!(daemon.runs());
+}
+
+/// What cannot be used leaves the old configuration in force; so does a variable that stands before the key.
+#[rstest]
+#[case::no_json("{\"name\"", "{\"name", &[], "not reloaded, the old one stays")]
+#[case::no_address("\"discovery\":\"", "\"discovery\":\"nowhere at all ", &[], "not reloaded, the old one stays")]
+#[case::variable("\"discovery\":\"", "\"discovery\":\"127.0.0.1:1\",\"was\":\"", &["RELAY_DISCOVERY"], "configuration reloaded")]
+#[case::fixed("\"disk_mb\":3", "\"disk_mb\":4", &[], "a new limits needs a restart")]
+fn what_is_held_stays(#[case] from: &str, #[case] to: &str, #[case] set: &[&str], #[case] line: &str) {
+    let endpoint = Server::always("200 OK");
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = discovery(known.clone());
+    let env = set.iter().map(|name| (name.to_string(), disco.addr.to_string())).collect();
+    let elsewhere = Server::always("200 OK");
+    let in_file = if set.is_empty() { &disco } else { &elsewhere };
+    let mut daemon = Setup { env, ..setup(in_file, known) }.start();
+    daemon.reload(from, to);
+    daemon.wait_log(line);
+    assert_eq!(daemon.hand_in("stats", "h1"), 202);
+    endpoint.wait_id("h1");
+    assert!(daemon.runs());
+    assert_eq!(disco.heard().iter().filter(|h| h.first.starts_with("GET")).count(), 1);
+    assert!(elsewhere.heard().is_empty());
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -284,8 +284,21 @@
 
     /// SIGTERM.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces a text in the configuration, and sends SIGHUP.
+    pub fn reload(&self, from: &str, to: &str) {
+        let path = self.folder.join("config.json");
+        let text = std::fs::read_to_string(&path).expect("its configuration");
+        assert!(text.contains(from), "{from} is not in {text}");
+        std::fs::write(&path, text.replace(from, to)).expect("written");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, which: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill").success());
+        assert!(Command::new("kill").args([which, &pid]).status().expect("kill").success());
     }
 
     pub fn wait_end(&mut self, within: Duration) -> std::process::ExitStatus {
