Put every client connection under guard, and tell another's id from a repeat

Line at fault: client/mod.rs, axum::serve: no limit on connections, on the time of a head, body or write; hyper drops a Content-Length beside a Transfer-Encoding before a handler sees it. Now hyper's own builder serves each connection through client/guard.rs, both fronts and TLS, with a third of the sockets as seats. Not heads nor bodies: none lived beyond its limits; connections that asked once held all seats for their 2 s, and the next waited up to 220 ms a seat. Another content now gets 503. Ruled out: repeats over crossed connections, they are the same to the byte. Tried and dropped: keeping a message whose first hand-in goes away; it could not be made to happen.

--- a/src/client/as2.rs
+++ b/src/client/as2.rs
@@ -1,4 +1,5 @@
 //! The AS2 front: messages that partners send, and their receipts for what was sent to them.
+use super::Limits;
 use crate::as2::mdn::{self, Receipt};
 use crate::as2::smime::{self, Entity};
 use crate::as2::{Book, Partner};
@@ -8,7 +9,7 @@
 use crate::journal::End;
 use crate::settings::Site;
 use axum::body::Bytes;
-use axum::extract::{DefaultBodyLimit, State};
+use axum::extract::State;
 use axum::http::header::CONTENT_TYPE;
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
@@ -25,8 +26,9 @@
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
 
-/// A body of 64 KiB, signed, encrypted and in base64.
-const BODY_LIMIT: usize = 192 * 1024;
+/// Partners are far away. A body is 64 KiB, signed, encrypted and in base64.
+pub const LIMITS: Limits =
+    Limits { head_for: Duration::from_secs(10), body_for: Duration::from_secs(30), body_most: 192 * 1024 };
 const PAYLOAD_LIMIT: usize = 64 * 1024;
 /// How long a receipt is offered to a partner that does not take it, and the pauses between.
 const OFFERS: u32 = 60;
@@ -50,11 +52,7 @@
 
 /// The routes of this front.
 pub fn routes(front: Front) -> Router {
-    Router::new()
-        .route("/as2", post(hand_in))
-        .route("/receipts", post(receipt))
-        .layer(DefaultBodyLimit::max(BODY_LIMIT))
-        .with_state(Arc::new(front))
+    Router::new().route("/as2", post(hand_in)).route("/receipts", post(receipt)).with_state(Arc::new(front))
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
--- a/src/client/platform.rs
+++ b/src/client/platform.rs
@@ -1,10 +1,11 @@
 //! The platform's front: its headers in, a request context out, and the answer back.
+use super::Limits;
 use crate::clock;
 use crate::core::{Answer, RequestContext};
 use crate::exchange::Exchange;
 use crate::settings::Site;
 use axum::body::Bytes;
-use axum::extract::{DefaultBodyLimit, Path, State};
+use axum::extract::{Path, State};
 use axum::http::header::RETRY_AFTER;
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
@@ -13,8 +14,15 @@
 use micaladder::{Effect, Nanos};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
+use std::time::Duration;
 
-const BODY_LIMIT: usize = 64 * 1024;
+/// Clients send at full speed and wait 400 ms for their answer; what cannot be read has its end within 3 s of
+/// connecting.
+pub const LIMITS: Limits = Limits {
+    head_for: Duration::from_millis(2200),
+    body_for: Duration::from_millis(500),
+    body_most: 64 * 1024,
+};
 /// Longer names and keys than any client of the platform uses.
 const TEXT_LIMIT: usize = 256;
 
@@ -28,7 +36,6 @@
     Router::new()
         .route("/ready", get(|| async { StatusCode::OK }))
         .route("/{class}", post(hand_in))
-        .layer(DefaultBodyLimit::max(BODY_LIMIT))
         .with_state(Arc::new(Front { site, exchange }))
 }
 
--- a/src/core.rs
+++ b/src/core.rs
@@ -31,6 +31,14 @@
     pub tags: Vec<String>,
 }
 
+impl RequestContext {
+    /// Whether all that is passed on is the same.
+    fn same_message(&self, other: &RequestContext) -> bool {
+        let what = |c: &RequestContext| (c.class, c.tenant, c.key, c.dest);
+        what(self) == what(other) && self.repeat_key == other.repeat_key && self.body == other.body
+    }
+}
+
 /// What plug-ins are told of a request beside its context.
 #[derive(Clone, Copy)]
 pub struct Outlook<'a> {
@@ -367,18 +375,24 @@
             } else {
                 Answer::Failed
             }
-        } else if self.names.contains_key(&context.name) {
+        } else if let Some(held) = self.names.get(&context.name).and_then(|id| self.held.get(id)) {
             // The same request once more, over a connection that crossed its answer: it is held already.
-            Answer::Taken
+            // Guards the clients of open requests against others that use their ids: another message under
+            // the same id is not that one, whichever came first.
+            if held.context.same_message(&context) {
+                Answer::Taken
+            } else {
+                Answer::Reject(self.come_back())
+            }
         } else if !self.dests.contains(&context.dest) {
             Answer::Unknown
         } else if context.deadline <= self.now {
             Answer::Failed
         } else if open >= self.settings.open_cap {
-            Answer::Reject(self.settings.retry_after.map(|top| Nanos::from_secs(1.0).min(top)))
+            Answer::Reject(self.come_back())
         } else if self.weight + past + weight > self.journal.room() {
             log::warn!("reject: no room in the journal");
-            Answer::Reject(self.settings.retry_after.map(|top| Nanos::from_secs(1.0).min(top)))
+            Answer::Reject(self.come_back())
         } else if let Verdict::Pass(tags) = self.plugins.request(&context, self.outlook(&context)) {
             context.tags = tags;
             self.keep(id, context);
@@ -388,12 +402,17 @@
             return Some(id);
         } else {
             log::info!("reject: a script's word on {}", context.name);
-            Answer::Reject(self.settings.retry_after.map(|top| Nanos::from_secs(1.0).min(top)))
+            Answer::Reject(self.come_back())
         };
         self.orders.push(Order::Answer(id, answer));
         None
     }
 
+    /// When a client that is turned away here may come again.
+    fn come_back(&self) -> Option<Nanos> {
+        self.settings.retry_after.map(|top| Nanos::from_secs(1.0).min(top))
+    }
+
     fn outlook(&self, context: &RequestContext) -> Outlook<'_> {
         Outlook {
             class: self.site.classes.get(context.class).map_or("", String::as_str),
--- a/src/main.rs
+++ b/src/main.rs
@@ -48,24 +48,27 @@
     tokio::spawn(reload::run(config.clone(), hangup, moves));
     tokio::spawn(notices::run(discovery.clone(), exchange.clone(), notices));
     tokio::spawn(discovery::run(config.site.clone(), config.known.rev, discovery, exchange.clone()));
+    let seats = client::Seats::new(config.sockets / 3);
     if let Some(book) = book {
         let listener = tokio::net::TcpListener::bind(&book.listen).await?;
         log::info!("AS2 front listens on {}", book.listen);
         tokio::spawn(client::as2::words(book.clone(), exchange.clone(), words));
-        let (authority, site) = (book.acme.clone(), config.site.clone());
-        let front = client::as2::routes(client::as2::Front { site, book, exchange: exchange.clone() });
+        let authority = book.acme.clone();
+        let (site, exchange) = (config.site.clone(), exchange.clone());
+        let routes = client::as2::routes(client::as2::Front { site, book, exchange: exchange.clone() });
+        let keeper = Arc::new(acme::Keeper::default());
+        let tls = authority.as_ref().map(|_| client::tls(keeper.clone())).transpose()?;
         if let Some(authority) = authority {
-            let keeper = Arc::new(acme::Keeper::default());
-            tokio::spawn(acme::run(authority, config.state.clone(), keeper.clone()));
-            tokio::spawn(client::serve_tls(listener, keeper, front, exchange.closing()));
-        } else {
-            tokio::spawn(client::serve(listener, front, exchange.closing()));
+            tokio::spawn(acme::run(authority, config.state.clone(), keeper));
         }
+        let front = client::Front { listener, routes, limits: client::as2::LIMITS, tls };
+        tokio::spawn(client::serve(front, seats.clone(), exchange.closing()));
     }
     let listener = tokio::net::TcpListener::bind(config.listen).await?;
+    let routes = client::platform::routes(config.site.clone(), exchange.clone());
+    let front = client::Front { listener, routes, limits: client::platform::LIMITS, tls: None };
+    let serving = tokio::spawn(client::serve(front, seats, exchange.closing()));
     log::info!("ready: {} listens on {}", config.name, config.listen);
-    let front = client::platform::routes(config.site.clone(), exchange.clone());
-    let serving = tokio::spawn(client::serve(listener, front, exchange.closing()));
     terminate.recv().await;
     log::info!("told to end: finishing calls");
     exchange.wind_up().await;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -16,6 +16,8 @@
     pub state: PathBuf,
     /// Bytes that the lasting folder may hold.
     pub disk: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
     pub seed: u64,
     pub known: GroupUpdate,
     pub site: Arc<Site>,
@@ -76,6 +78,7 @@
 #[derive(Deserialize)]
 struct Limits {
     disk_mb: f64,
+    sockets: u32,
 }
 
 #[derive(Deserialize)]
@@ -194,7 +197,7 @@
         let differs = [
             ("name", self.name != fresh.name),
             ("listen", self.listen != fresh.listen),
-            ("limits", self.disk != fresh.disk),
+            ("limits", (self.disk, self.sockets) != (fresh.disk, fresh.sockets)),
             ("settings", self.site != fresh.site),
         ];
         differs.into_iter().filter(|d| d.1).map(|d| d.0).collect()
@@ -236,6 +239,7 @@
             discovery,
             state,
             disk: (file.limits.disk_mb * 1e6) as u64,
+            sockets: file.limits.sockets as usize,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed {}: {e}", file.seed))?,
             known: file.known,
             site: Arc::new(site(file.settings)),
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -196,11 +196,12 @@
     pub known: String,
     pub open_cap: u32,
     pub disk_mb: f64,
+    pub sockets: u32,
     pub env: Vec<(String, String)>,
 }
 
 pub fn setup(discovery: &Server, known: String) -> Setup<'_> {
-    Setup { discovery, known, open_cap: 100, disk_mb: 3.0, env: Vec::new() }
+    Setup { discovery, known, open_cap: 100, disk_mb: 3.0, sockets: 1024, env: Vec::new() }
 }
 
 impl Setup<'_> {
@@ -211,8 +212,9 @@
         let port = free_port();
         let addr: SocketAddr = ([127, 0, 0, 1], port).into();
         let config = format!(
-            r#"{{"name":"n0","listen":"{addr}","discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":{}}},"known":{},"settings":{}}}"#,
+            r#"{{"name":"n0","listen":"{addr}","discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{},"disk_mb":{}}},"known":{},"settings":{}}}"#,
             self.discovery.addr,
+            self.sockets,
             self.disk_mb,
             self.known,
             SETTINGS.replace("OPENCAP", &self.open_cap.to_string())
@@ -297,8 +299,17 @@
     }
 
     fn signal(&self, which: &str) {
+        self.order("kill", &[which]);
+    }
+
+    /// Lets the process have so many descriptors from now on.
+    pub fn descriptors(&self, most: u32) {
+        self.order("prlimit", &[&format!("--nofile={most}:1024"), "--pid"]);
+    }
+
+    fn order(&self, program: &str, args: &[&str]) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args([which, &pid]).status().expect("kill").success());
+        assert!(Command::new(program).args(args).arg(&pid).status().expect(program).success());
     }
 
     pub fn wait_end(&mut self, within: Duration) -> std::process::ExitStatus {
