Judge spoilt answers by their first line, and shut no endpoint out for them

Lines at fault: upstream/platform.rs, broken: hyper hides the first line; a pooled connection that was closed behind an answer counted as ConnectFailed, from which the module takes the whole kind for short of connections and closes every one after its call (logic.rs, scarce). Now upstream/tap.rs keeps the first line round the socket; 200 delivers at once, other spoilt answers end as Outcome::Spoilt, which may have run and teaches the module nothing but that the host was heard. A body is read in the background, for 100 ms. A call of which no byte went out is not sent (Moot). Half a head is waited for 300 ms: endpoints write a head at once.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -224,6 +224,8 @@
     Reset,
     /// Called off; it may have run.
     Cancelled,
+    /// It ran, but its answer cannot be read: that says nothing of its host.
+    Spoilt,
     /// Not sent.
     Moot,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -467,7 +467,7 @@
         let route = self.routes.entry(host.route).or_default();
         host.trial = host.trial.filter(|t| *t != e.id);
         route.limit = e.report.map_or(route.limit, |r| r.limit);
-        if matches!(e.outcome, Outcome::Ok | Outcome::Error | Outcome::Full(_)) {
+        if matches!(e.outcome, Outcome::Ok | Outcome::Error | Outcome::Full(_) | Outcome::Spoilt) {
             host.heard = now;
         }
         match e.outcome {
@@ -519,7 +519,8 @@
                 let mute = e.outcome != Outcome::Error && host.heard <= sent.sent;
                 (!sent.mute).then(|| self.lost(sent, mute && e.outcome != Outcome::Error));
             }
-            Outcome::Cancelled | Outcome::Moot => {}
+            // All hosts spoil answers alike: no cause to shut one out.
+            Outcome::Cancelled | Outcome::Spoilt | Outcome::Moot => {}
         }
     }
 
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Tries on the wire: one task each, over pooled connections, one pool for each host.
 mod as2;
 mod platform;
+mod tap;
 
 use crate::as2::Book;
 use crate::core::Try;
@@ -10,19 +11,27 @@
 use http_body_util::Full;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use micaladder::{HostId, MsgId, Nanos, Outcome};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use tap::Tapped;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::AbortHandle;
+use tower::util::MapResponse;
+use tower::ServiceExt;
 
-pub type Pool = Client<HttpConnector, Full<Bytes>>;
+type Tapping = fn(TokioIo<TcpStream>) -> TokioIo<Tapped>;
+pub type Pool = Client<MapResponse<HttpConnector, Tapping>, Full<Bytes>>;
 
 /// Idle connections are closed after this share of the time after which the endpoint's machine does so.
 const IDLE_SHARE: f64 = 0.7;
 
+/// The head of an answer is shorter.
+const HEAD_MOST: usize = 16 * 1024;
+
 /// How a try ended, and whether the endpoint says that the message is over.
 pub struct Ending {
     pub outcome: Outcome,
@@ -46,7 +55,8 @@
         // Guards against connections that the endpoint drops while they stand idle: a request written to such
         // a one is a reset.
         .pool_idle_timeout(Duration::from_secs_f64(site.module.conn_idle.secs() * IDLE_SHARE))
-        .build(connector)
+        .http1_max_buf_size(HEAD_MOST)
+        .build(connector.map_response(|io| TokioIo::new(Tapped::new(io.into_inner()))))
 }
 
 /// Carries out tries as the exchange hands them over.
--- a/src/upstream/platform.rs
+++ b/src/upstream/platform.rs
@@ -1,15 +1,25 @@
 //! The platform's encoding of a try: a call to an endpoint, and what its answer means.
+use super::tap::Watch;
 use super::{Ending, Pool};
 use crate::core::Try;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::header::{HeaderMap, RETRY_AFTER};
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::client::legacy::connect::capture_connection;
+use hyper_util::client::legacy::Error;
 use micaladder::{Nanos, Outcome};
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// An answer's body means nothing. It is read so far, for the connection to be used again.
 const BODY_MOST: usize = 64 * 1024;
 const BODY_FOR: Duration = Duration::from_millis(100);
+/// Once the first line says 200, the rest is waited for only so long: mostly it is there, and its connection is
+/// free for the next call before that is decided.
+const LINGER: Duration = Duration::from_millis(3);
+
+type Answer = Result<Response<Incoming>, Error>;
 
 /// Makes the call; dropping it closes its connection.
 pub async fn call(pool: &Pool, one: &Try) -> Ending {
@@ -20,35 +30,79 @@
     if !context.repeat_key.is_empty() {
         request = request.header("idempotency-key", &context.repeat_key);
     }
-    let request = match request.body(Full::new(context.body.clone())) {
+    let mut request = match request.body(Full::new(context.body.clone())) {
         Ok(request) => request,
         Err(e) => {
             log::error!("try of {} cannot be put into words: {e}", context.name);
             return Outcome::Moot.into();
         }
     };
-    match pool.request(request).await {
-        Ok(response) => {
-            let (head, body) = response.into_parts();
-            let rest = Limited::new(body, BODY_MOST).collect();
-            if tokio::time::timeout(BODY_FOR, rest).await.is_err() {
-                log::debug!("{}: the body of an answer did not end", one.address);
-            }
-            ending(head.status, &head.headers)
+    let mut captured = capture_connection(&mut request);
+    let mut answer = pool.request(request);
+    // The answer is polled first, so that the watch begins before the connection writes.
+    let watch = tokio::select! {
+        biased;
+        done = &mut answer => return judge(done, None, &one.address),
+        watch = Watch::start(&mut captured) => watch,
+    };
+    let Some(watch) = watch else { return judge(answer.await, None, &one.address) };
+    let done = tokio::select! {
+        biased;
+        done = &mut answer => Some(done),
+        () = watch.settled() => timeout(LINGER, &mut answer).await.ok(),
+    };
+    match done {
+        Some(done) => judge(done, Some(&watch), &one.address),
+        None if watch.says_ok() => {
+            tokio::spawn(async move { timeout(BODY_FOR, async { read_out(answer.await?).await }).await });
+            Outcome::Ok.into()
+        }
+        None => spoilt(&one.address, "its head does not end"),
+    }
+}
+
+/// What came of a call. Guards the truth of it against answers that are spoilt: the call has run, and where the
+/// first line says 200 it is a delivery, whatever comes behind.
+fn judge(done: Answer, watch: Option<&Watch>, place: &str) -> Ending {
+    match done {
+        Ok(answer) if answer.status() == StatusCode::SWITCHING_PROTOCOLS => spoilt(place, "it is a 101"),
+        Ok(answer) => {
+            let ending = ending(answer.status(), answer.headers());
+            // Its body means nothing, and its end is not waited for: it may never come.
+            tokio::spawn(timeout(BODY_FOR, read_out(answer)));
+            ending
+        }
+        Err(_) if watch.is_some_and(Watch::says_ok) => Outcome::Ok.into(),
+        Err(e) if watch.is_some_and(Watch::heard) => spoilt(place, &e.to_string()),
+        // Found closed before the first byte went out: that is no word on its endpoint, only on a connection.
+        Err(e) if watch.is_some_and(Watch::unsent) => {
+            log::debug!("{place}: {e}: not sent");
+            Outcome::Moot.into()
         }
-        Err(e) => broken(&one.address, &e),
+        Err(e) => broken(place, &e),
     }
 }
 
+fn spoilt(place: &str, why: &str) -> Ending {
+    log::debug!("{place}: an answer that cannot be read: {why}");
+    Outcome::Spoilt.into()
+}
+
+/// Reads an answer's body, for the connection to be used again. One that is too long closes it.
+async fn read_out(answer: Response<Incoming>) -> Result<(), Error> {
+    let _ = Limited::new(answer.into_body(), BODY_MOST).collect().await;
+    Ok(())
+}
+
 /// Never ran: no connection came up, or the request was handed back before it was written. After that the last
 /// byte may have gone out, so the call may have run.
-pub fn broken(place: &str, e: &hyper_util::client::legacy::Error) -> Ending {
+pub fn broken(place: &str, e: &Error) -> Ending {
     let unsent = e.is_connect() || cause(e).is_some_and(|h| h.is_canceled());
     log::debug!("{place}: {e}");
     if unsent { Outcome::ConnectFailed } else { Outcome::Reset }.into()
 }
 
-fn cause(e: &hyper_util::client::legacy::Error) -> Option<&hyper::Error> {
+fn cause(e: &Error) -> Option<&hyper::Error> {
     std::error::Error::source(e)?.downcast_ref()
 }
 
--- /dev/null
+++ b/src/upstream/tap.rs
@@ -0,0 +1,179 @@
+//! A thin wrapper round an endpoint's socket. It keeps what hyper does not show of an answer that it cannot
+//! read: whether anything came, and what the first line says.
+use hyper::http::Extensions;
+use hyper_util::client::legacy::connect::{CaptureConnection, Connected, Connection};
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{timeout_at, Instant};
+
+/// A first line is kept so far.
+const LINE_MOST: usize = 64;
+/// An endpoint writes the head of an answer at once. So long after its first byte, the rest is not waited for.
+const HEAD_FOR: Duration = Duration::from_millis(300);
+
+/// What passed on a connection since its present call began.
+#[derive(Default)]
+struct Passed {
+    call: u64,
+    written: bool,
+    heard: bool,
+    line: Vec<u8>,
+    /// In the head of a 1xx answer: the next one counts.
+    ahead: bool,
+    status: Option<u16>,
+}
+
+#[derive(Clone, Default)]
+struct Tap(Arc<(Mutex<Passed>, Notify)>);
+
+/// One call's view of its connection.
+pub struct Watch {
+    tap: Tap,
+    call: u64,
+}
+
+pub struct Tapped {
+    io: TcpStream,
+    tap: Tap,
+}
+
+impl Tap {
+    fn passed(&self) -> MutexGuard<'_, Passed> {
+        self.0 .0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Passed {
+    fn read(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            if self.status.is_some() {
+                return;
+            }
+            self.heard = true;
+            match byte {
+                b'\n' => self.end_line(),
+                _ if self.line.len() < LINE_MOST => self.line.push(*byte),
+                _ => {}
+            }
+        }
+    }
+
+    fn end_line(&mut self) {
+        let line = std::mem::take(&mut self.line);
+        let text = std::str::from_utf8(&line).unwrap_or_default().trim_end();
+        if self.ahead {
+            // Only what comes behind a 1xx answer is the answer itself.
+            (self.ahead, self.heard) = (!text.is_empty(), !text.is_empty());
+        } else if !text.is_empty() {
+            let version = text.split(' ').next().filter(|v| v.starts_with("HTTP/1."));
+            let status = version.and_then(|_| text.split(' ').nth(1)?.parse().ok()).unwrap_or(0);
+            self.ahead = (100..200).contains(&status);
+            self.status = Some(status).filter(|_| !self.ahead);
+        }
+    }
+}
+
+impl Watch {
+    /// Waits for the connection that a request goes out on, and watches it from there.
+    pub async fn start(captured: &mut CaptureConnection) -> Option<Watch> {
+        let mut extras = Extensions::new();
+        captured.wait_for_connection_metadata().await.as_ref()?.get_extras(&mut extras);
+        let tap: Tap = extras.remove()?;
+        let call = {
+            let mut passed = tap.passed();
+            *passed = Passed { call: passed.call + 1, ..Passed::default() };
+            passed.call
+        };
+        Some(Watch { tap, call })
+    }
+
+    fn look<T: Default>(&self, at: impl Fn(&Passed) -> T) -> T {
+        Some(self.tap.passed()).filter(|p| p.call == self.call).map(|p| at(&p)).unwrap_or_default()
+    }
+
+    /// Whether no byte of the call was given to the socket.
+    pub fn unsent(&self) -> bool {
+        self.look(|p| !p.written)
+    }
+
+    /// Whether anything of an answer came.
+    pub fn heard(&self) -> bool {
+        self.look(|p| p.heard)
+    }
+
+    /// Whether the answer's first line says 200.
+    pub fn says_ok(&self) -> bool {
+        self.look(|p| p.status == Some(200))
+    }
+
+    /// Returns when nothing more needs to be known of the answer: its first line says 200, or its head should
+    /// have come long ago.
+    pub async fn settled(&self) {
+        let mut late = None;
+        while !self.says_ok() {
+            late = self.heard().then(|| late.unwrap_or_else(|| Instant::now() + HEAD_FOR));
+            let more = self.tap.0 .1.notified();
+            let Some(at) = late else {
+                more.await;
+                continue;
+            };
+            if timeout_at(at, more).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+impl Tapped {
+    pub fn new(io: TcpStream) -> Tapped {
+        Tapped { io, tap: Tap::default() }
+    }
+}
+
+impl Connection for Tapped {
+    fn connected(&self) -> Connected {
+        Connected::new().extra(self.tap.clone())
+    }
+}
+
+impl AsyncRead for Tapped {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let done = Pin::new(&mut self.io).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.tap.passed().read(&buf.filled()[before..]);
+            self.tap.0 .1.notify_one();
+        }
+        done
+    }
+}
+
+impl AsyncWrite for Tapped {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.tap.passed().written = true;
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.tap.passed().written = true;
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,86 @@
+//! Answers of endpoints that are spoilt, or bring more than belongs to them.
+mod stand;
+use rstest::rstest;
+use stand::*;
+use std::time::{Duration, Instant};
+
+const GOOD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
+fn start(endpoint: &Server) -> (Server, Daemon) {
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = discovery(known.clone());
+    let daemon = setup(&disco, known).start();
+    (disco, daemon)
+}
+
+/// The connection of a spoilt answer is of no further use.
+fn spoilt_or_good(answer: &str) -> Reply {
+    match answer.ends_with(GOOD) {
+        true => Reply::Say(answer.into()),
+        false => Reply::Hold(answer.into()),
+    }
+}
+
+/// Each is the answer to a message that must not run twice; its connection stays open behind it.
+#[rstest]
+#[case::noise("\x07\x00 no http at all \u{fffd}\r\n\r\n", "Spoilt")]
+#[case::half_a_line("HTT", "Spoilt")]
+#[case::error_without_end("HTTP/1.1 500 Oops\r\nx-a: b\r\n", "Spoilt")]
+#[case::noise_behind_1xx("HTTP/1.1 103 Early Hints\r\nx-a: 200\r\n\r\n%%%%\r\n\r\n", "Spoilt")]
+#[case::upgrade("HTTP/1.1 101 Switching Protocols\r\n\r\n", "Spoilt")]
+#[case::bad_header("HTTP/1.1 200 OK\r\n\x01\x02 what\r\n\r\n", "Ok")]
+#[case::head_without_end("HTTP/1.1 200 OK\r\nx-a: b\r\n", "Ok")]
+#[case::two_lengths("HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 7\r\n\r\nabcde", "Ok")]
+#[case::long("HTTP/1.1 200 OK\r\ncontent-length: 3000000000\r\n\r\nabcde", "Ok")]
+#[case::ahead("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nx-a: b\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", "Ok")]
+fn a_call_has_run_and_a_first_line_with_200_delivers(#[case] answer: &'static str, #[case] outcome: &str) {
+    let endpoint = Server::start(move |_, n| spoilt_or_good(if n == 0 { answer } else { GOOD }));
+    let (disco, daemon) = start(&endpoint);
+    let begun = Instant::now();
+    assert_eq!(daemon.hand_in("payout", "g1"), 202);
+    daemon.wait_log(&format!("try 0 of g1: {outcome}"));
+    assert!(begun.elapsed() < Duration::from_millis(700), "{:?}", begun.elapsed());
+    if outcome == "Spoilt" {
+        disco.wait_text(r#"{"id":"g1","status":"undeliverable"}"#);
+    }
+    // The next goes on another connection, and is not held back.
+    assert_eq!(daemon.hand_in("payout", "g2"), 202);
+    daemon.wait_log("try 0 of g2: Ok");
+    assert_eq!(endpoint.heard().len(), 2);
+    assert_eq!(disco.heard().iter().any(|h| h.text().contains("g1")), outcome == "Spoilt");
+}
+
+/// All endpoints spoil answers alike: none is shut out for it, and what may run again goes again.
+#[test]
+fn an_endpoint_that_spoils_answers_is_used_on() {
+    let endpoint = Server::start(|_, n| spoilt_or_good(if n < 10 { "%%%%\r\n" } else { GOOD }));
+    let (_disco, daemon) = start(&endpoint);
+    for n in 0..9 {
+        assert_eq!(daemon.hand_in("payout", &format!("u{n}")), 202);
+        daemon.wait_log(&format!("try 0 of u{n}: Spoilt"));
+    }
+    assert_eq!(daemon.hand_in("stats", "u9"), 202);
+    daemon.wait_log("try 1 of u9: Ok");
+    assert!(!daemon.log().contains("breaker opened"));
+}
+
+/// What stands behind an answer is no answer to the next call, and a connection closed for it is no word on its
+/// endpoint.
+#[rstest]
+#[case::noise("%%%%")]
+#[case::copy(GOOD)]
+fn bytes_behind_an_answer_are_nobodys(#[case] more: &'static str) {
+    let endpoint = Server::start(move |h, _| match h.id() {
+        "last" => say("500 Oops", "", ""),
+        _ => Reply::Say(format!("{GOOD}{more}")),
+    });
+    let (disco, daemon) = start(&endpoint);
+    for n in 0..200 {
+        assert_eq!(daemon.hand_in("payout", &format!("b{n}")), 202);
+    }
+    daemon.wait_log("of b199: Ok");
+    assert_eq!(daemon.hand_in("payout", "last"), 202);
+    disco.wait_text(r#"{"id":"last","status":"undeliverable"}"#);
+    assert_eq!(endpoint.heard().len(), 201);
+    assert!(!daemon.log().contains("ConnectFailed"));
+}
