Retire endpoints that are gone, and find what is over by name and key

Saw: core.rs kept every endpoint for good (hosts, uids), so did the module's table (logic.rs, hosts) and the pools (upstream/mod.rs); each hand-in went over all ended messages twice and each new end over all of them once. Lines at fault: group, handed and remember in core.rs. Now an endpoint that is Gone is retired once no try is out; its pool closes, and the same id listed again is a new endpoint. past.rs finds ended messages by name and by key. Both tests fail without the change: 400 short messages were turned away after some 200, nothing was retired.

--- a/src/core.rs
+++ b/src/core.rs
@@ -1,12 +1,13 @@
 //! Request contexts, tries, outcomes and deadlines. Drives the decision module with all that happened in a
 //! moment, keeps the journal in step, and says what is to be done. It knows no wire.
 use crate::journal::{End, Journal, Record, Taken};
+use crate::past::Past;
 use crate::plugins::{Plugins, Verdict};
 use crate::settings::{Config, Site};
 use bytes::Bytes;
 use micaladder::{
     Action, Balancer, DestId, Effect, Ended, Entry, Event, HostId, Listed, Message, MsgId, Nanos, Outcome,
-    Past, Settings,
+    Past as Before, Settings,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -146,14 +147,6 @@
     weight: u64,
 }
 
-/// What is remembered of a message that is over, so that its repeats are answered alike.
-struct Gone {
-    name: String,
-    repeat_key: String,
-    until: Nanos,
-    delivered: bool,
-}
-
 /// How long beyond its time a message that is over is remembered, in seconds.
 const REMEMBER: f64 = 2.0;
 
@@ -168,8 +161,13 @@
     site: Arc<Site>,
     held: BTreeMap<MsgId, Held>,
     names: HashMap<String, MsgId>,
-    past: Vec<Gone>,
-    hosts: Vec<Member>,
+    past: Past,
+    /// Tries that wait for a notice, or for this moment to end.
+    held_back: BTreeSet<MsgId>,
+    hosts: BTreeMap<HostId, Member>,
+    /// Gone from the upstream group, and still with a try out.
+    leaving: BTreeSet<HostId>,
+    next_host: u32,
     /// Members that discovery does not list.
     standing: Vec<Member>,
     uids: HashMap<String, HostId>,
@@ -199,8 +197,11 @@
             site: config.site.clone(),
             held: BTreeMap::new(),
             names: HashMap::new(),
-            past: Vec::new(),
-            hosts: Vec::new(),
+            past: Past::default(),
+            held_back: BTreeSet::new(),
+            hosts: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            next_host: 0,
             standing,
             uids: HashMap::new(),
             dests: BTreeSet::new(),
@@ -282,7 +283,7 @@
             }
             Record::Heard { id } => self.heard(MsgId(id)),
             Record::Past { name, repeat_key, until, delivered } => {
-                self.past.push(Gone { name, repeat_key, until: Nanos(until), delivered })
+                self.past.add(name, repeat_key, Nanos(until), delivered)
             }
         }
     }
@@ -293,12 +294,12 @@
             h.ran(true);
         }
         let now = self.now;
-        self.past.retain(|p| p.until > now);
+        self.past.forget(now);
         for (id, h) in &self.held {
             if let Some(end) = h.end {
                 self.orders.extend(owes_word(&h.context, end).then(|| Order::Notice(h.notice(*id, end))));
             } else {
-                let past = Past { tries: h.tries, maybe: h.maybe };
+                let past = Before { tries: h.tries, maybe: h.maybe };
                 self.events.push(Event::Resumed(h.message(*id), past));
             }
         }
@@ -338,6 +339,7 @@
         self.answer(&handed, &actions);
         actions.into_iter().for_each(|a| self.carry_out(a));
         self.release_held_back();
+        self.retire();
         self.compact();
         std::mem::take(&mut self.orders)
     }
@@ -346,31 +348,50 @@
         let mut entries = Vec::new();
         let standing = if whole { self.standing.clone() } else { Vec::new() };
         for m in members.into_iter().chain(standing) {
-            let fresh = HostId(self.hosts.len() as u32);
-            let host = *self.uids.entry(m.uid.clone()).or_insert(fresh);
+            let host = *self.uids.entry(m.uid.clone()).or_insert_with(|| {
+                self.next_host += 1;
+                HostId(self.next_host)
+            });
             self.dests.insert(m.dest);
             let (zone, kind, dest, state, rate) = (m.zone, m.kind, DestId(m.dest), m.state, m.rate);
             entries.push(Entry { host, zone, kind, dest, state, rate });
-            if host == fresh {
-                self.hosts.push(m);
-            } else {
-                self.hosts[host.0 as usize] = m;
+            self.hosts.insert(host, m);
+        }
+        let named: BTreeSet<HostId> = entries.iter().map(|e| e.host).collect();
+        for (host, m) in &mut self.hosts {
+            if whole && !named.contains(host) {
+                m.state = Listed::Gone;
             }
+            match m.state {
+                Listed::Gone => self.leaving.insert(*host),
+                _ => self.leaving.remove(host),
+            };
         }
         self.events.push(Event::List { whole, entries });
     }
 
+    /// Guards against days on which endpoints come and go: what is kept of one ends with its last try. Should
+    /// it be listed again, it is a new one, and no connection of the old one serves it.
+    fn retire(&mut self) {
+        if self.leaving.is_empty() {
+            return;
+        }
+        let busy: BTreeSet<HostId> = self.held.values().filter_map(|h| Some(h.out.as_ref()?.host)).collect();
+        for host in self.leaving.extract_if(.., |h| !busy.contains(h)) {
+            if let Some(m) = self.hosts.remove(&host) {
+                log::debug!("retired: {} of dest {}", m.uid, m.dest);
+                self.uids.remove(&m.uid);
+                self.orders.push(Order::Release(host));
+            }
+        }
+    }
+
     /// Decides what can be told at once; else hands the message to the module, and gives its id.
     fn handed(&mut self, id: MsgId, mut context: RequestContext) -> Option<MsgId> {
-        let known = |p: &&Gone| {
-            let same_key = !p.repeat_key.is_empty() && p.repeat_key == context.repeat_key;
-            p.name == context.name || p.delivered && same_key
-        };
         let open = self.held.values().filter(|h| h.end.is_none()).count();
         let weight = Journal::weight(&context.name, &context.repeat_key, context.body.len());
-        let past = self.past.iter().map(|p| Journal::weight(&p.name, &p.repeat_key, 0)).sum::<u64>();
-        let answer = if let Some(p) = self.past.iter().rev().find(known) {
-            if p.delivered {
+        let answer = if let Some(delivered) = self.past.delivered(&context.name, &context.repeat_key) {
+            if delivered {
                 Answer::Delivered
             } else {
                 Answer::Failed
@@ -390,7 +411,7 @@
             Answer::Failed
         } else if open >= self.settings.open_cap {
             Answer::Reject(self.come_back())
-        } else if self.weight + past + weight > self.journal.room() {
+        } else if self.weight + self.past.weight() + weight > self.journal.room() {
             log::warn!("reject: no room in the journal");
             Answer::Reject(self.come_back())
         } else if let Verdict::Pass(tags) = self.plugins.request(&context, self.outlook(&context)) {
@@ -497,7 +518,7 @@
             // The watch on the upstream group renews itself.
             Action::Watch => {}
             Action::Log { text, host } => {
-                let member = host.and_then(|h| self.hosts.get(h.0 as usize));
+                let member = host.and_then(|h| self.hosts.get(&h));
                 match member {
                     Some(m) => log::info!("{text}: {} of dest {}", m.uid, m.dest),
                     None => log::info!("{text}"),
@@ -507,27 +528,32 @@
     }
 
     fn send(&mut self, id: MsgId, host: HostId, timeout: Nanos) {
-        let (now, zone) = (self.now, self.hosts.get(host.0 as usize).map_or(0, |m| m.zone));
+        let (now, zone) = (self.now, self.hosts.get(&host).map_or(0, |m| m.zone));
         let Some(h) = self.held.get_mut(&id) else { return };
         // Guards "order by key": a message that ends by a notice is over only once the notice is answered.
         let out = Out { attempt: h.tries, started: now, zone, held_back: true, host, timeout };
         h.out = Some(out);
         h.tries += 1;
+        self.held_back.insert(id);
     }
 
     /// Starts the tries whose key is free. The journal knows of a try before its first byte goes out.
     fn release_held_back(&mut self) {
+        if self.held_back.is_empty() {
+            return;
+        }
         let unheard: BTreeSet<u64> = self
             .held
             .values()
             .filter(|h| h.end.is_some() && !h.heard)
             .filter_map(|h| h.context.key)
             .collect();
-        let free = |h: &Held| h.out.as_ref().is_some_and(|o| o.held_back) && !h.blocked(&unheard);
-        let ids: Vec<MsgId> = self.held.iter().filter(|(_, h)| free(h)).map(|(id, _)| *id).collect();
+        let blocked = |id: &MsgId| self.held.get(id).is_some_and(|h| h.blocked(&unheard));
+        let ids: Vec<MsgId> = self.held_back.iter().filter(|id| !blocked(id)).copied().collect();
         for id in ids {
+            self.held_back.remove(&id);
             let Some(h) = self.held.get_mut(&id) else { continue };
-            let Some(out) = h.out.as_mut() else { continue };
+            let Some(out) = h.out.as_mut().filter(|o| o.held_back) else { continue };
             if (self.now - out.started).secs() > HELD_BACK_MOST {
                 // Guards waits and drains: a word that came since may forbid what was decided before it. The
                 // module decides anew.
@@ -548,7 +574,7 @@
             let (attempt, host, timeout, zone) = (out.attempt, out.host, out.timeout, out.zone as u32);
             let timeout = timeout.min(h.context.deadline - self.now);
             let (context, at) = (h.context.clone(), self.now.0);
-            let address = self.hosts.get(host.0 as usize).map(|m| m.address.clone()).unwrap_or_default();
+            let address = self.hosts.get(&host).map(|m| m.address.clone()).unwrap_or_default();
             self.write(Record::Started { id: id.0, at, zone });
             self.orders.push(Order::Try(Try { id, attempt, host, address, timeout, context }));
         }
@@ -593,9 +619,8 @@
         };
         let until = context.deadline.max(at + window) + REMEMBER;
         let (name, repeat_key) = (context.name.clone(), context.repeat_key.clone());
-        let now = self.now;
-        self.past.retain(|p| p.until > now);
-        self.past.push(Gone { name, repeat_key, until, delivered: end == End::Delivered });
+        self.past.forget(self.now);
+        self.past.add(name, repeat_key, until, end == End::Delivered);
     }
 
     fn drop_if_done(&mut self, id: MsgId) {
@@ -630,11 +655,8 @@
             return;
         }
         let now = self.now;
-        self.past.retain(|p| p.until > now);
-        let past = self.past.iter().map(|p| {
-            let (name, repeat_key) = (p.name.clone(), p.repeat_key.clone());
-            Record::Past { name, repeat_key, until: p.until.0, delivered: p.delivered }
-        });
+        self.past.forget(now);
+        let past = self.past.records();
         let held = self.held.iter().flat_map(|(id, h)| h.records(*id, now));
         match self.journal.rewrite(past.chain(held)) {
             Ok(()) => log::debug!("journal written anew"),
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -49,6 +49,8 @@
 
 /// Bytes that a record takes beside its texts, at most.
 const OVERHEAD: u64 = 96;
+/// The same of what is kept of a message that is over: a record of its own.
+const PAST_OVERHEAD: u64 = 32;
 /// Share of the folder that the log may fill before it is written anew, and that what is owed may take. Old
 /// and new log lie side by side while it is written anew: both shares together stay under the whole.
 const SHARE: f64 = 0.42;
@@ -89,6 +91,11 @@
         2 * (name.len() + repeat_key.len()) as u64 + body as u64 + 4 * OVERHEAD
     }
 
+    /// Bytes that a message is reckoned at once it is over.
+    pub fn past_weight(name: &str, repeat_key: &str) -> u64 {
+        (name.len() + repeat_key.len()) as u64 + PAST_OVERHEAD
+    }
+
     /// Bytes that all that is owed may take.
     pub fn room(&self) -> u64 {
         self.most
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -365,7 +365,7 @@
     /// Guards "drains are kept": a stopping or missing host is unlisted at once.
     fn listed(&mut self, whole: bool, entries: &[Entry]) {
         if whole {
-            self.hosts.values_mut().for_each(|h| h.listed = false);
+            self.hosts.values_mut().for_each(|h| (h.listed, h.gone) = (false, true));
         }
         for e in entries {
             let apart = self.set.kinds.get(e.kind).is_some_and(|k| k.apart);
@@ -373,6 +373,7 @@
             let host = self.hosts.entry(e.host).or_default();
             (host.dest, host.zone, host.kind, host.route) = (e.dest, e.zone, e.kind, route);
             (host.listed, host.rate) = (e.state == Listed::Running, e.rate);
+            host.gone = e.state == Listed::Gone;
             // Stands in where answers tell no limits; a rough one only where a call carries several, since
             // too low a pace costs little there.
             let several = self.set.weights == Weights::Rough && self.per_call(e.host) > 1;
@@ -605,6 +606,9 @@
         }
         self.review_at = now + REVIEW;
         self.hosts.values_mut().for_each(|h| h.review(now, &self.set));
+        // Guards the table against days on which hosts come and go.
+        self.hosts.retain(|_, h| !h.gone || h.calls > 0);
+        self.routes.retain(|key, _| key.1.is_none_or(|h| self.hosts.contains_key(&h)));
         self.idle_limit = self.idle_limit.map(|l| l * IDLE_RISE);
         // ARR: a missed aim raises the gain, and all counts start anew.
         let aim = self.set.least_aim();
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
 mod journal;
 mod logger;
 mod notices;
+mod past;
 mod plugins;
 mod reload;
 mod settings;
--- a/src/state.rs
+++ b/src/state.rs
@@ -125,6 +125,8 @@
     pub kind: usize,
     pub route: RouteKey,
     pub listed: bool,
+    /// Removed from the list: forgotten with its last call.
+    pub gone: bool,
     /// Listed rate.
     pub rate: f64,
     pub calls: u32,
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -150,6 +150,44 @@
     );
 }
 
+/// What is gone leaves nothing behind, and a new endpoint at its address gets connections of its own.
+#[test]
+fn an_endpoint_that_is_gone_is_retired_with_its_connections() {
+    let endpoint = Server::always("200 OK");
+    let many: Vec<_> = (1..=20).map(|dest| (dest, endpoint.addr)).collect();
+    let known = list(1, &many);
+    let (tell, told) = std::sync::mpsc::channel();
+    let (told, after) = (std::sync::Mutex::new(told), list(2, &[(7, endpoint.addr)]).replace("s-0", "s-new"));
+    let disco = Server::start(move |heard, _| {
+        let line: String =
+            told.lock().expect("lock").recv().map(|()| after.clone() + "\n").unwrap_or_default();
+        assert!(heard.first.starts_with("GET"), "{}", heard.first);
+        Reply::Hold(format!(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n",
+            line.len()
+        ))
+    });
+    let daemon = setup(&disco, known).start();
+    let before = daemon.held_descriptors();
+    for (dest, _) in &many {
+        let text = String::from_utf8(message("stats", &format!("r{dest}"), "20000m", "")).expect("text");
+        let text = text.replace("dest=7", &format!("dest={dest}"));
+        assert_eq!(daemon.ask(text.as_bytes()).map(|h| h.status()), Some(202));
+        daemon.wait_log(&format!("try 0 of r{dest}: Ok"));
+    }
+    assert!(daemon.held_descriptors() >= before + many.len());
+    tell.send(()).expect("it listens");
+    daemon.wait_log("retired: s-0 of dest 1");
+    assert_eq!(daemon.hand_in("stats", "r21"), 202);
+    daemon.wait_log("try 0 of r21: Ok");
+    let until = std::time::Instant::now() + PATIENCE;
+    while daemon.held_descriptors() > before + 3 {
+        assert!(std::time::Instant::now() < until, "{} descriptors", daemon.held_descriptors());
+        std::thread::yield_now();
+    }
+    assert_eq!(daemon.log().matches("retired:").count(), many.len());
+}
+
 /// A second hand-in over a connection that crossed its answer is the same message.
 #[test]
 fn the_same_request_twice_runs_once() {
@@ -285,3 +323,17 @@
     endpoint.wait_id("e2");
     assert!(daemon.wait_end(Duration::from_millis(3700)).success());
 }
+
+/// A message that is over is kept in a few bytes.
+#[test]
+fn what_is_over_leaves_room_for_what_comes() {
+    let endpoint = Server::always("200 OK");
+    let (disco, known) = one(&endpoint);
+    let daemon = Setup { disk_mb: 0.2, ..setup(&disco, known) }.start();
+    for n in 0..400 {
+        assert_eq!(daemon.hand_in("stats", &format!("m{n}")), 202);
+        endpoint.wait_id(&format!("m{n}"));
+    }
+    let size = std::fs::metadata(daemon.folder.join("state").join("journal")).expect("it is there").len();
+    assert!(size < 100_000, "{size}");
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -302,6 +302,11 @@
         self.order("kill", &[which]);
     }
 
+    /// How many descriptors the process holds.
+    pub fn held_descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
+    }
+
     /// Lets the process have so many descriptors from now on.
     pub fn descriptors(&self, most: u32) {
         self.order("prlimit", &[&format!("--nofile={most}:1024"), "--pid"]);
