--- a/src/core.rs
+++ b/src/core/mod.rs
@@ -1,14 +1,20 @@
 //! Request contexts, tries, outcomes and deadlines. Drives the decision module with all that happened in a
 //! moment, keeps the journal in step, and says what is to be done. It knows no wire.
-use crate::journal::{End, Journal, Record, Taken};
+#[cfg(test)]
+mod faults;
+mod ledger;
+
+use crate::journal::{self, End, Journal, Record, Taken};
 use crate::past::Past;
 use crate::plugins::{Plugins, Verdict};
-use crate::settings::{Config, Site};
+use crate::settings::Site;
 use bytes::Bytes;
+use ledger::Ledger;
 use micaladder::{
     Action, Balancer, DestId, Effect, Ended, Entry, Event, HostId, Listed, Message, MsgId, Nanos, Outcome,
     Past as Before, Settings,
 };
+use std::collections::hash_map::Entry::Occupied;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -129,7 +135,7 @@
     attempt: u32,
     started: Nanos,
     zone: usize,
-    /// Waits for an earlier message's notice; not on its way yet.
+    /// Waits for an earlier message's notice, or for this moment to end; not on its way yet, nor in the journal.
     held_back: bool,
     host: HostId,
     timeout: Nanos,
@@ -144,22 +150,34 @@
     /// Set once the message is over; it is kept for its try and its notice.
     end: Option<End>,
     heard: bool,
+    /// The journal knows of it.
+    logged: bool,
     weight: u64,
 }
 
 /// How long beyond its time a message that is over is remembered, in seconds.
 const REMEMBER: f64 = 2.0;
 
+/// A line that would come with each request comes once in so many seconds.
+const LOG_EACH: f64 = 1.0;
+
+/// A message that is handed back so shortly before its time, in seconds, does not run after a restart either.
+const TIME_UP: f64 = 0.05;
+
 /// How long a try may be held back for an earlier message's notice and still go as it was decided, in seconds.
 const HELD_BACK_MOST: f64 = 0.05;
 
 pub struct Core {
     settings: Settings,
     balancer: Balancer,
-    journal: Journal,
+    ledger: Ledger,
     plugins: Plugins,
     site: Arc<Site>,
     held: BTreeMap<MsgId, Held>,
+    /// How many of them are not over.
+    open: usize,
+    /// Keys of those that are over and whose notice is not answered, and how many each has.
+    unheard: HashMap<u64, usize>,
     names: HashMap<String, MsgId>,
     past: Past,
     /// Tries that wait for a notice, or for this moment to end.
@@ -180,22 +198,26 @@
     orders: Vec<Order>,
     now: Nanos,
     resting: bool,
+    /// When the next line on a full journal may be logged.
+    room_log: Nanos,
 }
 
 impl Core {
     /// Takes up what the journal says is still owed.
     pub fn new(
-        config: &Config, standing: Vec<Member>, plugins: Plugins, journal: Journal, records: Vec<Record>,
-        now: Nanos,
+        site: &Arc<Site>, seed: u64, standing: Vec<Member>, plugins: Plugins,
+        (journal, records): (Journal, Vec<Record>), now: Nanos,
     ) -> Core {
-        let settings = config.site.module.clone();
+        let settings = site.module.clone();
         let mut core = Core {
-            balancer: Balancer::new(settings.clone(), config.seed),
+            balancer: Balancer::new(settings.clone(), seed),
             settings,
-            journal,
+            ledger: Ledger::new(journal),
             plugins,
-            site: config.site.clone(),
+            site: site.clone(),
             held: BTreeMap::new(),
+            open: 0,
+            unheard: HashMap::new(),
             names: HashMap::new(),
             past: Past::default(),
             held_back: BTreeSet::new(),
@@ -212,6 +234,7 @@
             orders: Vec::new(),
             now,
             resting: false,
+            room_log: Nanos(0),
         };
         records.into_iter().for_each(|r| core.replay(r));
         core.resume();
@@ -224,9 +247,14 @@
         MsgId(self.next - 1)
     }
 
+    /// The shortest time between two moments, as the settings have it.
+    pub fn tick(&self) -> Nanos {
+        self.settings.tick
+    }
+
     /// When `moment` is to be called at the latest.
     pub fn wake(&self) -> Option<Nanos> {
-        self.wake.filter(|_| !self.resting)
+        self.wake.filter(|_| !self.resting).into_iter().chain(self.ledger.wake()).min()
     }
 
     /// Tries that are out.
@@ -259,9 +287,13 @@
                     tags: Vec::new(),
                 };
                 self.keep(id, context);
+                if let Some(h) = self.held.get_mut(&id) {
+                    h.logged = true;
+                }
             }
-            Record::Started { id, at, zone } => {
+            Record::Started { id, at, zone, before } => {
                 if let Some(h) = self.held.get_mut(&MsgId(id)) {
+                    h.tries += before;
                     let (started, zone) = (Nanos(at), zone as usize);
                     let (host, timeout) = (HostId(0), Nanos(0));
                     h.out = Some(Out { attempt: h.tries, started, zone, held_back: false, host, timeout });
@@ -274,9 +306,10 @@
                 }
             }
             Record::Ended { id, at, end } => {
-                if let Some(h) = self.held.get_mut(&MsgId(id)) {
-                    (h.end, h.out) = (Some(end), None);
+                if let Some(h) = self.held.get_mut(&MsgId(id)).filter(|h| h.end.is_none()) {
+                    h.out = None;
                     let (context, at) = (h.context.clone(), Nanos(at));
+                    self.close(MsgId(id), end);
                     self.remember(&context, at, end);
                     self.drop_if_done(MsgId(id));
                 }
@@ -314,6 +347,8 @@
     /// Takes in all that happened, lets the module decide once, and says what is to be done.
     pub fn moment(&mut self, now: Nanos, inputs: Vec<Input>) -> Vec<Order> {
         self.now = now;
+        self.retry_journal();
+        let stuck = self.ledger.stuck();
         let mut handed = Vec::new();
         for input in inputs {
             match input {
@@ -322,7 +357,7 @@
                 Input::Withdrawn(id) => self.withdrawn(id),
                 Input::TryEnded { id, attempt, outcome, over } => self.try_ended(id, attempt, outcome, over),
                 Input::NoticeHeard(id) => {
-                    self.write(Record::Heard { id: id.0 });
+                    self.ledger.keep(now, Record::Heard { id: id.0 }, None);
                     self.heard(id);
                 }
             }
@@ -340,10 +375,36 @@
         actions.into_iter().for_each(|a| self.carry_out(a));
         self.release_held_back();
         self.retire();
-        self.compact();
+        if self.ledger.is_full(now, 0) {
+            self.write_anew();
+        }
+        if self.ledger.stuck() && !stuck {
+            // Without this the module would spend the tries of all that it holds on a disk that fails.
+            self.events.push(Event::Paused(true));
+            self.wake = Some(now);
+        }
         std::mem::take(&mut self.orders)
     }
 
+    /// Where the journal could not be written, sees whether it can be again.
+    fn retry_journal(&mut self) {
+        let now = self.now;
+        let (held, past) = (&self.held, &self.past);
+        if let Some(done) = self.ledger.retry(now, || records(held, past, now)) {
+            self.orders.extend(done);
+            if !self.ledger.stuck() {
+                self.events.push(Event::Paused(false));
+                self.wake = Some(now);
+            }
+        }
+    }
+
+    fn write_anew(&mut self) {
+        let now = self.now;
+        self.past.forget(now);
+        self.ledger.rewrite(now, records(&self.held, &self.past, now));
+    }
+
     fn group(&mut self, whole: bool, members: Vec<Member>) {
         let mut entries = Vec::new();
         let standing = if whole { self.standing.clone() } else { Vec::new() };
@@ -388,8 +449,7 @@
 
     /// Decides what can be told at once; else hands the message to the module, and gives its id.
     fn handed(&mut self, id: MsgId, mut context: RequestContext) -> Option<MsgId> {
-        let open = self.held.values().filter(|h| h.end.is_none()).count();
-        let weight = Journal::weight(&context.name, &context.repeat_key, context.body.len());
+        let weight = weigh(&context);
         let answer = if let Some(delivered) = self.past.delivered(&context.name, &context.repeat_key) {
             if delivered {
                 Answer::Delivered
@@ -409,10 +469,13 @@
             Answer::Unknown
         } else if context.deadline <= self.now {
             Answer::Failed
-        } else if open >= self.settings.open_cap {
+        } else if self.open >= self.settings.open_cap || self.ledger.stuck() {
             Answer::Reject(self.come_back())
-        } else if self.weight + self.past.weight() + weight > self.journal.room() {
-            log::warn!("reject: no room in the journal");
+        } else if self.weight + self.past.weight() + weight > self.ledger.room() {
+            if self.now >= self.room_log {
+                log::warn!("reject: no room in the journal");
+                self.room_log = self.now + LOG_EACH;
+            }
             Answer::Reject(self.come_back())
         } else if let Verdict::Pass(tags) = self.plugins.request(&context, self.outlook(&context)) {
             context.tags = tags;
@@ -443,11 +506,13 @@
     }
 
     fn keep(&mut self, id: MsgId, context: RequestContext) {
-        let weight = Journal::weight(&context.name, &context.repeat_key, context.body.len());
+        let weight = weigh(&context);
         self.weight += weight;
+        self.open += 1;
         self.names.insert(context.name.clone(), id);
         let context = Arc::new(context);
-        let held = Held { context, tries: 0, out: None, maybe: None, end: None, heard: false, weight };
+        let (tries, out, maybe, end, heard, logged) = (0, None, None, None, false, false);
+        let held = Held { context, tries, out, maybe, end, heard, logged, weight };
         self.held.insert(id, held);
     }
 
@@ -475,7 +540,7 @@
                 log::warn!("delivered after its end: {}", self.held[&id].context.name);
             }
         } else if self.held[&id].end.is_none() {
-            self.write(Record::Outcome { id: id.0, may_have_run });
+            self.ledger.keep(self.now, Record::Outcome { id: id.0, may_have_run }, None);
         }
         self.drop_if_done(id);
     }
@@ -492,12 +557,17 @@
         }
         for id in handed {
             let Some(h) = self.held.get(id) else { continue };
+            let context = h.context.clone();
             let answer = match rejects.get(id) {
                 Some(answer) => *answer,
-                None if self.append(&Record::Taken(h.taken(*id))) => Answer::Taken,
+                None if self.take_on(*id) => {
+                    log::debug!("taken on: {} for dest {}", context.name, context.dest);
+                    Answer::Taken
+                }
                 None => {
                     self.events.push(Event::Gone(*id));
-                    Answer::Reject(None)
+                    self.wake = Some(self.now);
+                    Answer::Reject(self.come_back())
                 }
             };
             if answer != Answer::Taken {
@@ -507,6 +577,20 @@
         }
     }
 
+    /// Whether the journal has the message.
+    fn take_on(&mut self, id: MsgId) -> bool {
+        let Some(h) = self.held.get(&id) else { return false };
+        let record = Record::Taken(h.taken(id));
+        if self.ledger.is_full(self.now, journal::size(&record)) {
+            self.write_anew();
+        }
+        let logged = self.ledger.first(self.now, &record);
+        if let Some(h) = self.held.get_mut(&id) {
+            h.logged = logged;
+        }
+        logged
+    }
+
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::Send { id, host, timeout } => self.send(id, host, timeout),
@@ -529,7 +613,10 @@
 
     fn send(&mut self, id: MsgId, host: HostId, timeout: Nanos) {
         let (now, zone) = (self.now, self.hosts.get(&host).map_or(0, |m| m.zone));
-        let Some(h) = self.held.get_mut(&id) else { return };
+        let Some(h) = self.held.get_mut(&id) else {
+            // Guards the slots: the module waits to hear of a try whose message was not taken on after all.
+            return self.not_sent(id, 0, true);
+        };
         // Guards "order by key": a message that ends by a notice is over only once the notice is answered.
         let out = Out { attempt: h.tries, started: now, zone, held_back: true, host, timeout };
         h.out = Some(out);
@@ -542,13 +629,7 @@
         if self.held_back.is_empty() {
             return;
         }
-        let unheard: BTreeSet<u64> = self
-            .held
-            .values()
-            .filter(|h| h.end.is_some() && !h.heard)
-            .filter_map(|h| h.context.key)
-            .collect();
-        let blocked = |id: &MsgId| self.held.get(id).is_some_and(|h| h.blocked(&unheard));
+        let blocked = |id: &MsgId| self.held.get(id).is_some_and(|h| h.blocked(&self.unheard));
         let ids: Vec<MsgId> = self.held_back.iter().filter(|id| !blocked(id)).copied().collect();
         for id in ids {
             self.held_back.remove(&id);
@@ -557,53 +638,101 @@
             if (self.now - out.started).secs() > HELD_BACK_MOST {
                 // Guards waits and drains: a word that came since may forbid what was decided before it. The
                 // module decides anew.
-                let (attempt, outcome, took) = (out.attempt, Outcome::Moot, Nanos(0));
+                let attempt = out.attempt;
                 h.out = None;
-                self.events.push(Event::Ended(Ended {
-                    id,
-                    attempt,
-                    outcome,
-                    over: false,
-                    took,
-                    report: None,
-                }));
-                self.wake = Some(self.now);
+                self.not_sent(id, attempt, false);
                 continue;
             }
-            (out.held_back, out.started) = (false, self.now);
             let (attempt, host, timeout, zone) = (out.attempt, out.host, out.timeout, out.zone as u32);
+            // Guards "no double effect" across restarts: what the journal does not know of does not start.
+            if !self.ledger.first(self.now, &Record::Started { id: id.0, at: self.now.0, zone, before: 0 }) {
+                h.out = None;
+                self.not_sent(id, attempt, false);
+                continue;
+            }
+            (out.held_back, out.started) = (false, self.now);
             let timeout = timeout.min(h.context.deadline - self.now);
-            let (context, at) = (h.context.clone(), self.now.0);
+            let context = h.context.clone();
             let address = self.hosts.get(&host).map(|m| m.address.clone()).unwrap_or_default();
-            self.write(Record::Started { id: id.0, at, zone });
             self.orders.push(Order::Try(Try { id, attempt, host, address, timeout, context }));
         }
     }
 
+    /// Tells the module of a try that did not start.
+    fn not_sent(&mut self, id: MsgId, attempt: u32, over: bool) {
+        let (outcome, took) = (Outcome::Moot, Nanos(0));
+        self.events.push(Event::Ended(Ended { id, attempt, outcome, over, took, report: None }));
+        self.wake = Some(self.now);
+    }
+
     /// The message is over for its client.
     fn end(&mut self, id: MsgId, end: End) {
         let now = self.now;
         let Some(h) = self.held.get_mut(&id).filter(|h| h.end.is_none()) else { return };
-        h.end = Some(end);
-        let (context, notice) = (h.context.clone(), h.notice(id, end));
+        let context = h.context.clone();
         // One that is held back never went out; the module still waits to hear of it.
-        if let Some(out) = h.out.take_if(|o| o.held_back) {
-            let (attempt, outcome, took) = (out.attempt, Outcome::Moot, Nanos(0));
-            self.events.push(Event::Ended(Ended { id, attempt, outcome, over: true, took, report: None }));
-            self.wake = Some(now);
+        if let Some(attempt) = h.out.take_if(|o| o.held_back).map(|o| o.attempt) {
+            self.not_sent(id, attempt, true);
         }
-        self.write(Record::Ended { id: id.0, at: now.0, end });
-        self.remember(&context, now, end);
-        if owes_word(&context, end) {
-            self.orders.push(Order::Notice(notice));
+        log::debug!(
+            "over: {} as {end:?}, {:.3} s before its time",
+            context.name,
+            (context.deadline - now).secs()
+        );
+        let record = |end| Record::Ended { id: id.0, at: now.0, end };
+        let written = self.ledger.first(now, &record(end));
+        let end = if written { end } else { self.end_unwritten(&context, end) };
+        self.close(id, end);
+        let Some(h) = self.held.get_mut(&id) else { return };
+        let word = owes_word(&context, end).then(|| Order::Notice(h.notice(id, end)));
+        if written {
+            self.orders.extend(word);
+        } else {
+            // What is given up has its answer at once. That it was delivered can wait: after a kill, the word
+            // would be another one.
+            let (now_told, later) = if end == End::Delivered { (None, word) } else { (word, None) };
+            self.orders.extend(now_told);
+            self.ledger.keep(now, record(end), later);
         }
+        self.remember(&context, now, end);
         self.drop_if_done(id);
     }
 
+    /// What a client is told where the journal cannot know of it yet. Guards "no double effect": a process that is
+    /// killed now takes the message up again, so its client must not be told that coming again is harmless.
+    fn end_unwritten(&self, context: &RequestContext, end: End) -> End {
+        let effect = self.settings.classes.get(context.class).map(|c| c.effect);
+        let runs_again = (context.deadline - self.now).secs() > TIME_UP;
+        match end {
+            End::Deferred(_) if effect == Some(Effect::Once) && runs_again => End::Undeliverable,
+            _ => end,
+        }
+    }
+
+    fn close(&mut self, id: MsgId, end: End) {
+        let Some(h) = self.held.get_mut(&id) else { return };
+        h.end = Some(end);
+        self.open -= 1;
+        if let Some(key) = h.context.key {
+            *self.unheard.entry(key).or_default() += 1;
+        }
+    }
+
     fn heard(&mut self, id: MsgId) {
-        if let Some(h) = self.held.get_mut(&id) {
-            h.heard = true;
-            self.drop_if_done(id);
+        let Some(h) = self.held.get_mut(&id).filter(|h| h.end.is_some() && !h.heard) else { return };
+        h.heard = true;
+        let key = h.context.key;
+        self.free(key);
+        self.drop_if_done(id);
+    }
+
+    /// One message fewer of this key is over and not heard of.
+    fn free(&mut self, key: Option<u64>) {
+        if let Some(Occupied(mut left)) = key.map(|k| self.unheard.entry(k)) {
+            *left.get_mut() -= 1;
+            if *left.get() == 0 {
+                left.remove();
+            }
         }
     }
 
@@ -634,6 +763,11 @@
     fn forget(&mut self, id: MsgId) {
         if let Some(h) = self.held.remove(&id) {
             self.weight -= h.weight;
+            match h.end {
+                None => self.open -= 1,
+                Some(_) if !h.heard => self.free(h.context.key),
+                Some(_) => {}
+            }
             if self.names.get(&h.context.name) == Some(&id) {
                 self.names.remove(&h.context.name);
             }
@@ -641,28 +775,19 @@
     }
 
     // ---- The journal.
+}
 
-    fn append(&mut self, record: &Record) -> bool {
-        self.journal.append(record).inspect_err(|e| log::error!("journal: {e}")).is_ok()
-    }
-
-    fn write(&mut self, record: Record) {
-        self.append(&record);
-    }
+/// All that the journal must say, in the fewest records.
+fn records<'a>(
+    held: &'a BTreeMap<MsgId, Held>, past: &'a Past, now: Nanos,
+) -> impl Iterator<Item = Record> + 'a {
+    let known = held.iter().filter(|(_, h)| h.logged);
+    past.records().chain(known.flat_map(move |(id, h)| h.records(*id, now)))
+}
 
-    fn compact(&mut self) {
-        if !self.journal.is_full() {
-            return;
-        }
-        let now = self.now;
-        self.past.forget(now);
-        let past = self.past.records();
-        let held = self.held.iter().flat_map(|(id, h)| h.records(*id, now));
-        match self.journal.rewrite(past.chain(held)) {
-            Ok(()) => log::debug!("journal written anew"),
-            Err(e) => log::error!("journal not written anew: {e}"),
-        }
-    }
+/// Bytes that the journal must keep for a message.
+fn weigh(c: &RequestContext) -> u64 {
+    Journal::weight(&c.name, &c.origin, &c.repeat_key, c.body.len())
 }
 
 /// Whether somebody is still to be told of this end.
@@ -683,8 +808,8 @@
         }
     }
 
-    fn blocked(&self, unheard: &BTreeSet<u64>) -> bool {
-        self.context.key.is_some_and(|k| unheard.contains(&k))
+    fn blocked(&self, unheard: &HashMap<u64, usize>) -> bool {
+        self.context.key.is_some_and(|k| unheard.contains_key(&k))
     }
 
     fn message(&self, id: MsgId) -> Message {
@@ -722,16 +847,22 @@
     /// All that the journal must say of it, in the fewest records.
     fn records(&self, id: MsgId, now: Nanos) -> Vec<Record> {
         let mut records = vec![Record::Taken(self.taken(id))];
-        let out = self.out.as_ref().filter(|o| !o.held_back);
+        if let Some(end) = self.end {
+            records.push(Record::Ended { id: id.0, at: now.0, end });
+            records.extend(self.heard.then_some(Record::Heard { id: id.0 }));
+            return records;
+        }
         let done = self.tries - u32::from(self.out.is_some());
-        for n in 0..done {
+        if done > 0 {
             let (at, zone) = self.maybe.map_or((0, 0), |(at, zone)| (at.0, zone as u32));
-            records.push(Record::Started { id: id.0, at, zone });
-            records.push(Record::Outcome { id: id.0, may_have_run: n == 0 && self.maybe.is_some() });
+            records.push(Record::Started { id: id.0, at, zone, before: done - 1 });
+            records.push(Record::Outcome { id: id.0, may_have_run: self.maybe.is_some() });
         }
-        records.extend(out.map(|o| Record::Started { id: id.0, at: o.started.0, zone: o.zone as u32 }));
-        records.extend(self.end.map(|end| Record::Ended { id: id.0, at: now.0, end }));
-        records.extend(self.heard.then_some(Record::Heard { id: id.0 }));
+        let out = self.out.as_ref().filter(|o| !o.held_back);
+        records.extend(out.map(|o| {
+            let (at, zone) = (o.started.0, o.zone as u32);
+            Record::Started { id: id.0, at, zone, before: 0 }
+        }));
         records
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -302,6 +302,8 @@
     Ended(Ended),
     /// The client has withdrawn the message.
     Gone(MsgId),
+    /// From now on no send can start (true), or sends can start again (false). What is out goes on.
+    Paused(bool),
     /// The timer asked for is due.
     Due,
 }
--- /dev/null
+++ b/src/journal/disk.rs
@@ -0,0 +1,141 @@
+//! What the journal asks of the folder in which it lies, and nothing more: a test's can fail at each of it.
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, ErrorKind, Write};
+use std::path::{Path, PathBuf};
+
+/// A folder of files.
+pub trait Disk: Send {
+    /// The whole of a file; none if there is no such file.
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>>;
+    /// Opens a file at its end; made if it is not there.
+    fn open(&self, name: &str) -> io::Result<Box<dyn Tail>>;
+    /// Opens a file that is empty, whatever it held.
+    fn create(&self, name: &str) -> io::Result<Box<dyn Tail>>;
+    /// Puts a file in the place of another, in one step.
+    fn rename(&self, from: &str, to: &str) -> io::Result<()>;
+    fn remove(&self, name: &str) -> io::Result<()>;
+}
+
+/// The end of an open file. It stays the same file whatever name it gets.
+pub trait Tail: Send {
+    /// Adds bytes. Where this fails, any part of them may have been written.
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
+    /// Shortens the file to this size.
+    fn cut(&mut self, size: u64) -> io::Result<()>;
+}
+
+/// A folder of the file system.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    /// Makes the folder where it is not there.
+    pub fn open(path: &Path) -> io::Result<Folder> {
+        fs::create_dir_all(path)?;
+        Ok(Folder(path.to_path_buf()))
+    }
+}
+
+impl Disk for Folder {
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        match fs::read(self.0.join(name)) {
+            Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
+            other => other.map(Some),
+        }
+    }
+    fn open(&self, name: &str) -> io::Result<Box<dyn Tail>> {
+        Ok(Box::new(OpenOptions::new().create(true).append(true).open(self.0.join(name))?))
+    }
+    fn create(&self, name: &str) -> io::Result<Box<dyn Tail>> {
+        // Truncating and appending do not go together; what an earlier attempt left is taken away first.
+        match self.remove(name) {
+            Err(e) if e.kind() != ErrorKind::NotFound => Err(e),
+            _ => self.open(name),
+        }
+    }
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.0.join(from), self.0.join(to))
+    }
+    fn remove(&self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.0.join(name))
+    }
+}
+
+impl Tail for File {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.write_all(bytes)
+    }
+    fn cut(&mut self, size: u64) -> io::Result<()> {
+        self.set_len(size)
+    }
+}
+
+/// A folder that fails as a file says, one word for each thing that fails now (`append`, `cut`, `create`,
+/// `rename`, `remove`). For the tests that start the real program: release builds do not hold it.
+#[cfg(debug_assertions)]
+pub struct Faulty {
+    folder: Folder,
+    faults: PathBuf,
+}
+
+#[cfg(debug_assertions)]
+impl Faulty {
+    /// Where `MICALADDER_DISK_FAULTS` names a file.
+    pub fn over(folder: Folder) -> Box<dyn Disk> {
+        match std::env::var("MICALADDER_DISK_FAULTS") {
+            Ok(faults) => Box::new(Faulty { folder, faults: faults.into() }),
+            Err(_) => Box::new(folder),
+        }
+    }
+}
+
+#[cfg(debug_assertions)]
+fn strike(faults: &Path, what: &str) -> io::Result<()> {
+    let now = fs::read_to_string(faults).unwrap_or_default();
+    match now.split_whitespace().any(|w| w == what) {
+        true => Err(io::Error::new(ErrorKind::StorageFull, format!("a test lets {what} fail"))),
+        false => Ok(()),
+    }
+}
+
+#[cfg(debug_assertions)]
+struct FaultyTail {
+    tail: Box<dyn Tail>,
+    faults: PathBuf,
+}
+
+#[cfg(debug_assertions)]
+impl Disk for Faulty {
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        self.folder.read(name)
+    }
+    fn open(&self, name: &str) -> io::Result<Box<dyn Tail>> {
+        Ok(Box::new(FaultyTail { tail: self.folder.open(name)?, faults: self.faults.clone() }))
+    }
+    fn create(&self, name: &str) -> io::Result<Box<dyn Tail>> {
+        strike(&self.faults, "create")?;
+        Ok(Box::new(FaultyTail { tail: self.folder.create(name)?, faults: self.faults.clone() }))
+    }
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        strike(&self.faults, "rename")?;
+        self.folder.rename(from, to)
+    }
+    fn remove(&self, name: &str) -> io::Result<()> {
+        strike(&self.faults, "remove")?;
+        self.folder.remove(name)
+    }
+}
+
+#[cfg(debug_assertions)]
+impl Tail for FaultyTail {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        strike(&self.faults, "append").inspect_err(|_| {
+            // As a disk that fills up does: the first bytes still go in.
+            let _ = self.tail.append(&bytes[..bytes.len() / 2]);
+        })?;
+        self.tail.append(bytes)
+    }
+    fn cut(&mut self, size: u64) -> io::Result<()> {
+        strike(&self.faults, "cut")?;
+        self.tail.cut(size)
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -274,8 +274,14 @@
     now: Nanos,
     act: Vec<Action>,
     msgs: BTreeMap<MsgId, Msg>,
+    /// By when a round must look at which: no round looks at all that is held.
+    held_until: BTreeSet<(Nanos, MsgId)>,
+    repeat_until: BTreeSet<(Nanos, MsgId)>,
+    out: BTreeSet<MsgId>,
     /// Messages that are owed an answer.
     open: usize,
+    /// No send can start.
+    paused: bool,
     lanes: BTreeMap<u64, Lane>,
     flows: BTreeMap<DestId, Flow>,
     /// Those with a message held or out.
@@ -357,6 +363,7 @@
             Event::Resumed(m, past) => self.resume(m, past),
             Event::Ended(e) => self.ended(e),
             Event::Gone(id) => self.finish(*id),
+            Event::Paused(on) => self.paused = *on,
             // A timer may fire a little early, by rounding of clocks: what it was for is armed anew.
             Event::Due => self.armed = None,
         }
@@ -403,6 +410,7 @@
         let (class, dest, deadline) = (m.class, m.dest, m.deadline);
         let msg = Msg { class, key, dest, deadline, arrived: now, ready_at: now, ..Msg::default() };
         self.msgs.insert(m.id, msg);
+        self.held_until.insert((deadline, m.id));
         let flow = self.flow(dest);
         flow.held.push(m.id);
         flow.demand += DEMAND_GAIN;
@@ -416,6 +424,7 @@
         self.accept(m);
         let Some(msg) = self.msgs.get_mut(&m.id) else { return };
         (msg.tries, msg.maybe) = (past.tries, past.maybe);
+        self.repeat_until.extend(past.maybe.map(|_| (self.now, m.id)));
         if past.tries >= self.set.most_tries {
             self.answer(m.id, 1.0);
         }
@@ -425,6 +434,7 @@
         let (id, now) = (e.id, self.now);
         let Some(msg) = self.msgs.get_mut(&id) else { return };
         let Some(sent) = msg.out.take() else { return };
+        self.out.remove(&id);
         if !matches!(e.outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot) {
             let zone = self.hosts.get(&sent.host).map_or(0, |h| h.zone);
             msg.maybe.get_or_insert((sent.sent, zone));
@@ -454,6 +464,7 @@
         } else if e.over || e.outcome == Outcome::Ok {
             self.finish(id);
         } else {
+            self.hold(id);
             self.flow(dest).held.push(id);
             if over {
                 self.answer(id, 1.0);
@@ -461,6 +472,24 @@
         }
     }
 
+    /// From when on a message that is not out may have to be answered.
+    fn hold(&mut self, id: MsgId) {
+        let Some(m) = self.msgs.get(&id) else { return };
+        self.held_until.insert((m.deadline, id));
+        if let (Some((since, _)), Effect::Keyed { window, .. }) = (m.maybe, self.set.classes[m.class].effect)
+        {
+            self.repeat_until.insert((since + window.secs() * WINDOW_SHARE, id));
+        }
+    }
+
+    fn unhold(&mut self, id: MsgId) {
+        let Some(m) = self.msgs.get(&id) else { return };
+        self.held_until.remove(&(m.deadline, id));
+        if m.maybe.is_some() {
+            self.repeat_until.retain(|(_, held)| *held != id);
+        }
+    }
+
     /// What an outcome says of its host and route.
     fn learn(&mut self, e: &Ended, sent: &Out) {
         let (now, luck) = (self.now, self.random.next());
@@ -578,6 +607,7 @@
         let (dest, out) = (msg.dest, msg.out.is_some());
         self.flow(dest).held.retain(|h| *h != id);
         if !out {
+            self.unhold(id);
             self.msgs.remove(&id);
         }
     }
@@ -633,10 +663,15 @@
     fn expire(&mut self) {
         let (now, margin) = (self.now, Nanos(self.set.tick.0 * 2));
         let (mut dead, mut silent) = (Vec::new(), Vec::new());
-        for (id, m) in &mut self.msgs {
+        dead.extend(self.held_until.iter().take_while(|h| h.0 <= now + margin).map(|h| h.1));
+        for (_, id) in self.repeat_until.iter().take_while(|h| h.0 <= now) {
+            let m = &self.msgs[id];
             let repeat = m.repeat_ok(&self.set.classes[m.class], now, None);
+            dead.extend(Some(*id).filter(|_| !repeat));
+        }
+        for id in &self.out {
+            let Some(m) = self.msgs.get_mut(id) else { continue };
             match &mut m.out {
-                None if m.deadline <= now + margin || !repeat => dead.push(*id),
                 Some(_) if m.deadline <= now && !m.done => dead.push(*id),
                 Some(o) if !o.mute => {
                     let Some(h) = self.hosts.get(&o.host) else { continue };
@@ -648,6 +683,8 @@
                 _ => {}
             }
         }
+        dead.sort_unstable();
+        dead.dedup();
         dead.into_iter().for_each(|id| self.answer(id, 1.0));
         for (out, id) in silent {
             self.lost(&out, true);
@@ -675,7 +712,8 @@
         let class = |m: &Msg| &self.set.classes[m.class];
         let spent = |m: &Msg, o: &Out| (self.now - o.sent).0 / 2 > self.patience(o.host, class(m)).0;
         let mute = |m: &Msg, o: &Out| full && !o.called_off && (o.mute || spent(m, o));
-        let out = self.msgs.iter().filter_map(|(id, m)| m.out.filter(|o| mute(m, o)).map(|o| (id, m, o)));
+        let out = self.out.iter().filter_map(|id| Some((id, self.msgs.get(id)?)));
+        let out = out.filter_map(|(id, m)| m.out.filter(|o| mute(m, o)).map(|o| (id, m, o)));
         let rows: Vec<(MsgId, bool)> = out.map(|(id, m, o)| (*id, spent(m, &o))).collect();
         let over = rows.len() as f64 > (self.set.slots as f64 * MUTE_SHARE).max(1.0);
         let may = rows.iter().filter(|r| over || r.1).map(|r| &r.0);
@@ -697,19 +735,34 @@
     fn shed(&mut self) {
         let cap = self.set.open_cap;
         let keep = cap.saturating_sub(((cap as f64 * RESERVE) as usize).max(1)).max(1);
+        let mut least = BTreeMap::new();
         while self.open > keep {
-            let held = self.busy().flat_map(|(_, f)| f.held.iter().map(|id| (*id, f.backlog())));
-            let may = held.filter(|(id, _)| self.msgs[id].refusable(self.class(id)));
-            let worth = |r: &(MsgId, f64)| self.worth(&r.0, self.now + r.1);
-            let Some((id, wait)) = may.min_by(|a, b| worth(a).total_cmp(&worth(b))) else { return };
+            // Only the flow that gave one back has changed.
+            if least.is_empty() {
+                least = self.busy().map(|(d, f)| (*d, self.least(f))).collect();
+            }
+            let rows = least.iter().filter_map(|(d, l)| l.map(|(worth, id, wait)| (*d, worth, id, wait)));
+            let Some((dest, _, id, wait)) = rows.min_by(|a, b| a.1.total_cmp(&b.1)) else { return };
             self.answer(id, wait);
             if self.now >= self.shed_log {
                 self.shed_log = self.now + REVIEW;
                 self.log("shedding: hold is full", None);
             }
+            let changed = self.flows.get(&dest).and_then(|f| self.least(f));
+            least.insert(dest, changed);
         }
     }
 
+    /// What of a flow is worth least when its turn would come, and in how many seconds that is.
+    fn least(&self, flow: &Flow) -> Option<(f64, MsgId, f64)> {
+        let wait = flow.backlog();
+        let at = self.now + wait;
+        let held = flow.held.iter().map(|id| (*id, &self.msgs[id]));
+        let may = held.filter(|(_, m)| m.refusable(&self.set.classes[m.class]));
+        let rows = may.map(|(id, m)| (m.worth(&self.set.classes[m.class], self.set.fade, at), id, wait));
+        rows.min_by(|a, b| a.0.total_cmp(&b.0))
+    }
+
     // ---- The send gate: every send passes here, retries and trials included.
 
     fn sick(&self, flow: &Flow) -> bool {
@@ -753,6 +806,7 @@
         };
         h.listed
             && breaker
+            && !self.paused
             && self.now >= r.wait_until.max(r.rest_until)
             && (r.rate().is_none() || r.bucket.level >= 1.0)
     }
@@ -779,6 +833,9 @@
 
     fn room(&self, flow: &Flow) -> usize {
         let hosts = self.open_hosts(flow);
+        if hosts.is_empty() {
+            return 0;
+        }
         let per_call = hosts.iter().map(|h| self.per_call(*h)).max().unwrap_or(1);
         let most = self.slot_cap(flow).saturating_sub(flow.calls) * per_call;
         let fits = |id: &&MsgId| hosts.iter().any(|h| self.msg_gate(**id, *h));
@@ -893,8 +950,11 @@
     fn urgent(&self, flow: &Flow, host: HostId) -> Option<(f64, MsgId)> {
         let soon = self.now + self.hosts.get(&host).map_or(0.0, |h| h.mean);
         let later = soon + flow.backlog();
-        let loss = |id: &MsgId| (self.worth(id, soon) - self.worth(id, later), *id);
         let fit = flow.held.iter().filter(|id| self.msg_gate(**id, host));
+        let loss = |id: &MsgId| {
+            let (m, class) = (&self.msgs[id], self.class(id));
+            (m.worth(class, self.set.fade, soon) - m.worth(class, self.set.fade, later), *id)
+        };
         fit.map(loss).reduce(|best, next| if next.0 > best.0 { next } else { best })
     }
 
@@ -946,6 +1006,8 @@
             lane.out += 1;
         }
         let (dest, arrived) = (m.dest, m.arrived);
+        self.unhold(id);
+        self.out.insert(id);
         self.flow(dest).took(id, arrived, now);
         self.act.push(Action::Send { id, host, timeout });
     }
@@ -969,11 +1031,10 @@
         let (now, margin) = (self.now, Nanos(self.set.tick.0 * 2));
         let review = Some(self.review_at).filter(|_| self.open > 0);
         let mut times: Vec<Nanos> = self.ask_at.into_iter().chain(review).collect();
-        for m in self.msgs.values() {
-            times.extend(match m.out {
-                None => [m.deadline - margin, m.ready_at],
-                Some(o) => [m.deadline, o.sent + self.hosts.get(&o.host).map_or(0.0, Host::silence) + margin],
-            });
+        times.extend(self.held_until.first().map(|h| h.0 - margin));
+        for m in self.out.iter().filter_map(|id| self.msgs.get(id)) {
+            let silence = |o: Out| o.sent + self.hosts.get(&o.host).map_or(0.0, Host::silence) + margin;
+            times.extend(m.out.map(|o| [m.deadline, silence(o)]).into_iter().flatten());
         }
         for (_, f) in self.busy().filter(|(_, f)| !f.held.is_empty()) {
             for h in f.hosts.iter().filter_map(|h| self.hosts.get(h)) {
@@ -981,7 +1042,9 @@
                 times.extend(self.routes.get(&h.route).map(|r| r.next(now)));
             }
         }
-        times.extend(self.lanes.values().filter(|l| !l.queue.is_empty()).map(|l| l.free_at));
+        if self.set.order_pause > Nanos(0) {
+            times.extend(self.lanes.values().filter(|l| !l.queue.is_empty()).map(|l| l.free_at));
+        }
         let due = times.into_iter().filter(|t| *t > now).min().map(|t| t.max(now + self.set.tick));
         let Some(due) = due.filter(|d| self.armed.is_none_or(|a| *d < a)) else { return };
         self.armed = Some(due);
--- a/src/main.rs
+++ b/src/main.rs
@@ -38,10 +38,11 @@
     let mut terminate = signal(SignalKind::terminate())?;
     // Before anything is ready: without a handler, a SIGHUP ends the process.
     let hangup = signal(SignalKind::hangup())?;
-    let (journal, records) = journal::Journal::open(&config.state, config.disk)?;
+    let journal = journal::Journal::open(&config.state, config.disk)?;
     let book = as2::book()?.map(Arc::new);
     let standing = book.as_ref().map(|b| b.members()).unwrap_or_default();
-    let core = core::Core::new(&config, standing, plugins::Plugins::load(), journal, records, clock::now());
+    let plugins = plugins::Plugins::load();
+    let core = core::Core::new(&config.site, config.seed, standing, plugins, journal, clock::now());
     let (exchange, exchange::Works { tries, notices, words }) = exchange::Exchange::new(core);
     exchange.regroup(true, discovery::members(&config.site, &config.known));
     tokio::spawn(upstream::run(config.site.clone(), book.clone(), exchange.clone(), tries));
