--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -16,6 +16,9 @@
 /// New connections still come for 0.4 s after SIGTERM.
 const CONNECTIONS_FOR: Duration = Duration::from_millis(500);
 
+/// Guards the times of the rules against settings that name a long tick.
+const TICK_MOST: Duration = Duration::from_millis(10);
+
 /// Words waited for, beyond which those of ended tries are forgotten.
 const EXPECTED_MOST: usize = 1024;
 
@@ -57,6 +60,7 @@
         let (words_in, words) = unbounded_channel();
         let (close, closing) = watch::channel(false);
         let desk = Desk {
+            tick: Duration::from_nanos(core.tick().0).min(TICK_MOST),
             core,
             answers: BTreeMap::new(),
             expected: BTreeMap::new(),
@@ -120,6 +124,8 @@
 
 struct Desk {
     core: Core,
+    /// The shortest time between two moments.
+    tick: Duration,
     answers: BTreeMap<MsgId, oneshot::Sender<Answer>>,
     expected: BTreeMap<String, oneshot::Sender<Bytes>>,
     tries: UnboundedSender<Work>,
@@ -131,6 +137,7 @@
 impl Desk {
     async fn run(mut self, mut hear: UnboundedReceiver<Said>) {
         let mut winding: Option<(tokio::time::Instant, oneshot::Sender<()>)> = None;
+        let mut next = tokio::time::Instant::now();
         loop {
             let mut inputs = Vec::new();
             let wake = self.core.wake().map(clock::instant);
@@ -144,6 +151,10 @@
                 },
                 () = sleep_until(sleep) => {}
             }
+            // Guards the CPU on busy days: what a moment costs by itself is paid once a tick, as in the simulator,
+            // and not once an event.
+            tokio::time::sleep_until(next).await;
+            next = tokio::time::Instant::now() + self.tick;
             while let Ok(said) = hear.try_recv() {
                 self.take(said, &mut inputs, &mut winding);
             }
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -295,6 +295,43 @@
     assert!(sent(2) - first < Duration::from_millis(250));
 }
 
+/// One that is never answered holds up none that ends later.
+#[test]
+fn a_notice_without_an_answer_holds_up_no_other() {
+    let endpoint = Server::always("500 Oops");
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = Server::start(|heard, _| match heard.first.starts_with("POST") {
+        true if heard.text().contains("h1") => Reply::Hold(String::new()),
+        true => say("204 No Content", "", ""),
+        false => Reply::Hold("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\n\n\r\n".into()),
+    });
+    let daemon = setup(&disco, known).start();
+    assert_eq!(daemon.hand_in("payout", "h1"), 202);
+    disco.wait_text("h1");
+    assert_eq!(daemon.hand_in("payout", "h2"), 202);
+    daemon.wait_log("told of h2");
+    assert!(!daemon.log().contains("told of h1"));
+}
+
+/// Connections that stood idle may all have fallen silent: none of them takes a notice.
+#[test]
+fn each_notice_goes_out_on_a_connection_of_its_own() {
+    let endpoint = Server::always("500 Oops");
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = Server::start(|heard, _| match heard.first.starts_with("POST") {
+        true => say("204 No Content", "", ""),
+        false => Reply::Hold("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\n\n\r\n".into()),
+    });
+    let daemon = setup(&disco, known).start();
+    for id in ["o1", "o2", "o3"] {
+        assert_eq!(daemon.hand_in("payout", id), 202);
+        daemon.wait_log(&format!("told of {id}"));
+    }
+    let posts = disco.heard().into_iter().filter(|h| h.first.starts_with("POST"));
+    let from: std::collections::BTreeSet<_> = posts.map(|h| h.from).collect();
+    assert_eq!(from.len(), 3);
+}
+
 #[test]
 fn a_repeat_of_a_delivered_message_is_answered_as_delivered_also_after_a_kill() {
     let endpoint = Server::always("200 OK");
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -17,6 +17,8 @@
     pub first: String,
     pub head: String,
     pub body: Vec<u8>,
+    /// The connection on which a stand-in server heard it.
+    pub from: Option<SocketAddr>,
 }
 
 impl Heard {
@@ -97,7 +99,9 @@
 
     fn converse(&self, mut socket: TcpStream, reply: &dyn Fn(&Heard, usize) -> Reply) {
         let mut reader = BufReader::new(socket.try_clone().expect("a handle"));
+        let from = socket.peer_addr().ok();
         while let Some(heard) = read_http(&mut reader) {
+            let heard = Heard { from, ..heard };
             let number = {
                 let mut all = self.heard.0.lock().expect("lock");
                 all.push(heard.clone());
