Give endpoints with a full table of connections as many calls at once as they take

Ruled out: limits and queues (their refusals come on connections in use).

Such an answer is now `Outcome::Crowded`: it proves that the call never ran, says nothing of pace or health, and sets the calls at once to what the host took; served calls raise that bit by bit. Notices take the connection that served last for their first attempt and a new one for each further.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -527,7 +527,7 @@
         let Some(h) = self.held.get_mut(&id) else { return };
         let Some(out) = h.out.as_ref().filter(|o| o.attempt == attempt) else { return };
         let took = self.now - out.started;
-        let may_have_run = !matches!(outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot);
+        let may_have_run = !outcome.never_ran();
         h.ran(may_have_run);
         let context = h.context.clone();
         self.plugins.outcome(&context, self.outlook(&context), &format!("{outcome:?}"));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -220,6 +220,8 @@
     Timeout,
     /// No connection; it never ran.
     ConnectFailed,
+    /// Turned away on a new connection, since the host holds no further one; it never ran.
+    Crowded,
     /// The connection broke; it may have run.
     Reset,
     /// Called off; it may have run.
@@ -230,6 +232,17 @@
     Moot,
 }
 
+impl Outcome {
+    /// Whether it proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        match self {
+            Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Crowded | Outcome::Moot => true,
+            Outcome::Ok | Outcome::Error | Outcome::Timeout | Outcome::Reset => false,
+            Outcome::Cancelled | Outcome::Spoilt => false,
+        }
+    }
+}
+
 /// What an answer told of its destination's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Report {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -83,6 +83,10 @@
 const DEMAND_GAIN: f64 = 0.1;
 const RATE_GAIN: f64 = 0.3;
 const BACKLOG_TOP: f64 = 30.0;
+/// Connections: what a served call adds to the calls that a host takes at once, in parts of them; and the
+/// wait, in seconds, where it turned away the only one.
+const ROOM_GAIN: f64 = 0.2;
+const ROOM_WAIT: f64 = 0.2;
 /// Half width of the random spread of trials and backoffs.
 const SPREAD: f64 = 0.2;
 
@@ -435,7 +439,7 @@
         let Some(msg) = self.msgs.get_mut(&id) else { return };
         let Some(sent) = msg.out.take() else { return };
         self.out.remove(&id);
-        if !matches!(e.outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot) {
+        if !e.outcome.never_ran() {
             let zone = self.hosts.get(&sent.host).map_or(0, |h| h.zone);
             msg.maybe.get_or_insert((sent.sent, zone));
         }
@@ -497,7 +501,9 @@
         let route = self.routes.entry(host.route).or_default();
         host.trial = host.trial.filter(|t| *t != e.id);
         route.limit = e.report.map_or(route.limit, |r| r.limit);
-        if matches!(e.outcome, Outcome::Ok | Outcome::Error | Outcome::Full(_) | Outcome::Spoilt) {
+        let mute =
+            [Outcome::Timeout, Outcome::ConnectFailed, Outcome::Reset, Outcome::Cancelled, Outcome::Moot];
+        if !mute.contains(&e.outcome) {
             host.heard = now;
         }
         match e.outcome {
@@ -516,6 +522,7 @@
                 host.suspect = host.suspect.filter(|s| !sent.mute || sent.idle < s.1);
                 host.losing.entry(sent.class).and_modify(|l| *l *= 1.0 - FAIL_GAIN);
                 route.succeeded(now);
+                host.room = host.room.map(|r| r + ROOM_GAIN / r).filter(|r| *r < self.set.slots as f64);
                 if host.answered(now, sent.sent, e.took.secs()) {
                     host.warm_up(now, luck);
                     self.log("half-open: served, slow start", Some(sent.host));
@@ -535,6 +542,14 @@
                     self.failed(sent.host, false, false);
                 }
             }
+            // Guards against taking a full table of connections for a limit or an outage: only as many calls
+            // at once go there as it takes. May hurt where another relay lets go: the room grows bit by bit.
+            Outcome::Crowded => {
+                host.room = Some(f64::from(host.calls.max(1)));
+                if host.calls == 0 {
+                    host.crowded_until = now + ROOM_WAIT * (SPREAD + luck);
+                }
+            }
             Outcome::ConnectFailed => {
                 self.scarce.insert(host.kind);
                 // Turned away at once its table may be full; unanswered it is as silent as any.
@@ -806,6 +821,8 @@
         };
         h.listed
             && breaker
+            && self.now >= h.crowded_until
+            && h.room.is_none_or(|r| f64::from(h.calls) < r.floor())
             && !self.paused
             && self.now >= r.wait_until.max(r.rest_until)
             && (r.rate().is_none() || r.bucket.level >= 1.0)
@@ -1038,7 +1055,7 @@
         }
         for (_, f) in self.busy().filter(|(_, f)| !f.held.is_empty()) {
             for h in f.hosts.iter().filter_map(|h| self.hosts.get(h)) {
-                times.extend(h.next(now));
+                times.extend(h.next(now).into_iter().chain([h.crowded_until]));
                 times.extend(self.routes.get(&h.route).map(|r| r.next(now)));
             }
         }
--- a/src/notices.rs
+++ b/src/notices.rs
@@ -29,17 +29,27 @@
 
 type Platform = Client<HttpConnector, Full<Bytes>>;
 
-/// Guards against connections that fell silent while they stood idle: each attempt has a new one. A pool would
-/// hand out one such after the other, and with each of them the time that a notice has runs out.
-fn platform() -> Platform {
-    Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http()
+/// The ways to the platform. The first attempt takes the connection that served last: it costs nothing, and comes
+/// through while new ones do not. Further ones have a new connection each. Guards against connections that fell
+/// silent while they stood idle: a pool would hand out one such after the other, until the time of a notice is over.
+#[derive(Clone)]
+struct Ways {
+    first: Platform,
+    further: Platform,
+}
+
+impl Ways {
+    fn open() -> Ways {
+        let way = |idle| Client::builder(TokioExecutor::new()).pool_max_idle_per_host(idle).build_http();
+        Ways { first: way(1), further: way(0) }
+    }
 }
 
 /// Sends notices as they come; those that come together travel together.
 pub async fn run(
     discovery: watch::Receiver<String>, exchange: Exchange, mut notices: UnboundedReceiver<Notice>,
 ) {
-    let client = platform();
+    let ways = Ways::open();
     let mut under_way = JoinSet::new();
     while let Some(first) = notices.recv().await {
         let mut batch = vec![first];
@@ -51,14 +61,12 @@
             batch.push(next);
         }
         while under_way.try_join_next().is_some() {}
-        under_way.spawn(tell(client.clone(), discovery.clone(), exchange.clone(), batch));
+        under_way.spawn(tell(ways.clone(), discovery.clone(), exchange.clone(), batch));
     }
 }
 
 /// Sends one batch until it is answered.
-async fn tell(
-    client: Platform, mut discovery: watch::Receiver<String>, exchange: Exchange, batch: Vec<Notice>,
-) {
+async fn tell(ways: Ways, mut discovery: watch::Receiver<String>, exchange: Exchange, batch: Vec<Notice>) {
     let text: Bytes = batch.iter().map(line).collect::<String>().into();
     let begun = Instant::now();
     let mut attempts = JoinSet::new();
@@ -89,7 +97,8 @@
                 if next > begun {
                     log::warn!("notices: no answer after {} ms, sent once more", begun.elapsed().as_millis());
                 }
-                attempts.spawn(attempt(client.clone(), at.clone(), text.clone()));
+                let way = if next > begun { &ways.further } else { &ways.first };
+                attempts.spawn(attempt(way.clone(), at.clone(), text.clone()));
                 next = Instant::now() + patience;
                 patience = (patience * 2).min(AGAIN_MOST);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -137,6 +137,10 @@
     pub heard: Nanos,
     pub used_at: Nanos,
     pub conns: u32,
+    /// Calls that it takes at once, once it has turned one away for want of connections; and until when it has room
+    /// for none.
+    pub room: Option<f64>,
+    pub crowded_until: Nanos,
     /// When a call was last lost here on a connection that had been idle, and for how long in seconds.
     pub suspect: Option<(Nanos, f64)>,
     /// Seconds for which its last call's connection had been idle.
--- a/src/upstream/platform.rs
+++ b/src/upstream/platform.rs
@@ -4,7 +4,7 @@
 use crate::core::Try;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, RETRY_AFTER};
+use hyper::header::{HeaderMap, CONNECTION, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::client::legacy::Error;
@@ -67,7 +67,11 @@
     match done {
         Ok(answer) if answer.status() == StatusCode::SWITCHING_PROTOCOLS => spoilt(place, "it is a 101"),
         Ok(answer) => {
-            let ending = ending(answer.status(), answer.headers());
+            let mut ending = ending(answer.status(), answer.headers());
+            if ending.outcome == Outcome::Full(None) && watch.is_some_and(Watch::is_first) && closes(&answer)
+            {
+                ending.outcome = Outcome::Crowded;
+            }
             // Its body means nothing, and may never end. Guards against surplus connections: mostly it is there,
             // and the next call finds this connection free instead of opening another.
             let mut rest = tokio::spawn(timeout(BODY_FOR, read_out(answer)));
@@ -85,6 +89,12 @@
     }
 }
 
+/// Whether its connection ends with this answer. On a new one, beside a refusal without a wait, that is the word of
+/// an endpoint that holds as many connections as it takes.
+fn closes(answer: &Response<Incoming>) -> bool {
+    answer.headers().get(CONNECTION).is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
 fn spoilt(place: &str, why: &str) -> Ending {
     log::debug!("{place}: an answer that cannot be read: {why}");
     Outcome::Spoilt.into()
--- a/src/upstream/tap.rs
+++ b/src/upstream/tap.rs
@@ -97,6 +97,11 @@
         Some(self.tap.passed()).filter(|p| p.call == self.call).map(|p| at(&p)).unwrap_or_default()
     }
 
+    /// Whether this is the first call on its connection.
+    pub fn is_first(&self) -> bool {
+        self.call == 1
+    }
+
     /// Whether no byte of the call was given to the socket.
     pub fn unsent(&self) -> bool {
         self.look(|p| !p.written)
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -869,3 +869,62 @@
     // half of the capacity is back, and at most twice that may go.
     assert!(f64::from(listed) <= 3.0 * 20.0 * 0.5 * 2.0, "{listed}");
 }
+
+/// Turned away for want of connections: no pace is cut and no breaker opened, but as many calls at once go there as
+/// it took, and bit by bit one more.
+#[test]
+fn a_host_with_a_full_table_gets_as_many_calls_at_once_as_it_took() {
+    let mut r = one_host();
+    let first: Vec<Event> = (0..5).map(|id| r.message(id, ONCE, 10)).collect();
+    assert_eq!(sends(&r.step(0, &first)).len(), 5);
+    let turned_away: Vec<Event> = (2..5).map(|id| ended(id, 0, Outcome::Crowded, 1)).collect();
+    let actions = r.step(1, &turned_away);
+    assert!(sends(&actions).is_empty(), "two are out, and two it took");
+    assert!(!actions.iter().any(|a| matches!(a, Action::Log { .. })), "neither a limit nor an outage");
+    let mut most = 0;
+    let (mut out, mut next): (Vec<(u64, u32)>, u64) = (vec![(0, 0), (1, 0)], 100);
+    let mut tries = std::collections::BTreeMap::from([(2, 1), (3, 1), (4, 1)]);
+    for _ in 0..40 {
+        let mut events: Vec<Event> = out.drain(..).map(|(id, n)| ended(id, n, Outcome::Ok, 30)).collect();
+        events.extend((next..next + 3).map(|id| r.message(id, ONCE, 10)));
+        next += 3;
+        for (id, _) in sends(&r.step(30, &events)) {
+            let n = tries.entry(id).or_insert(0);
+            out.push((id, *n));
+            *n += 1;
+        }
+        assert!(out.len() <= most.max(2) + 1, "the room grows by one at a time");
+        most = most.max(out.len());
+    }
+    assert!(most > 2, "it is seen when there is more room");
+}
+
+#[test]
+fn a_host_that_turned_away_the_only_call_is_asked_again_after_a_pause() {
+    let mut r = one_host();
+    let message = r.message(1, ONCE, 10);
+    assert_eq!(sends(&r.step(0, &[message])).len(), 1);
+    let actions = r.step(1, &[ended(1, 0, Outcome::Crowded, 1)]);
+    assert!(sends(&actions).is_empty());
+    let wake = actions.iter().find_map(|a| match a {
+        Action::WakeAt(at) => Some(*at),
+        _ => None,
+    });
+    let pause = wake.expect("a time to look again") - r.now;
+    assert!(pause <= ms(300), "{pause:?}");
+    assert_eq!(sends(&r.step(300, &[Event::Due])), [(1, 1)]);
+}
+
+/// While no send can start, what is out and what is due go on, and no try is spent.
+#[test]
+fn while_paused_nothing_is_sent_and_all_else_goes_on() {
+    let mut r = one_host();
+    let message = r.message(1, SAFE, 10);
+    assert_eq!(sends(&r.step(0, &[message])).len(), 1);
+    let message = r.message(2, SAFE, 10);
+    assert!(sends(&r.step(5, &[Event::Paused(true), message])).is_empty());
+    assert!(sends(&r.step(5, &[ended(1, 0, Outcome::Ok, 10)])).is_empty());
+    assert!(refused(&r.step(20_000, &[Event::Due]), 2), "it ends in its time");
+    let message = r.message(3, SAFE, 10);
+    assert_eq!(sends(&r.step(5, &[Event::Paused(false), message])), [(3, 1)]);
+}
