Move the daemon into the library, split the core by concern, index what is out

Need: no tool, model or benchmark could drive the core, which was private to main.rs, and core and plugins imported each other. Work at each moment looked at all that is held: tries_out, retire, and the tries that wait for a notice.

`request` holds the request context and breaks the circle. `core` is a file for each concern (door, tries, ends, group, held, restart, ledger, orders). Tries are counted at each endpoint; one that waits for a notice is looked at when its key is free. The fault tests compare the counts with a look at all that is held after each moment.

--- a/src/as2/mod.rs
+++ b/src/as2/mod.rs
@@ -3,8 +3,8 @@
 pub mod smime;
 
 use crate::core::Member;
+use crate::Listed;
 use der::DecodePem;
-use micaladder::Listed;
 use miniserde::{json, Deserialize};
 use smime::Identity;
 use std::error::Error;
--- a/src/client/platform.rs
+++ b/src/client/platform.rs
@@ -1,9 +1,11 @@
 //! The platform's front: its headers in, a request context out, and the answer back.
 use super::Limits;
 use crate::clock;
-use crate::core::{Answer, RequestContext};
+use crate::core::Answer;
 use crate::exchange::Exchange;
+use crate::request::RequestContext;
 use crate::settings::Site;
+use crate::{Effect, Nanos};
 use axum::body::Bytes;
 use axum::extract::{Path, State};
 use axum::http::header::RETRY_AFTER;
@@ -11,7 +13,6 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::Router;
-use micaladder::{Effect, Nanos};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,5 +1,5 @@
 //! Time as the daemon counts it: nanoseconds of Unix time that only move forward while it runs.
-use micaladder::Nanos;
+use crate::Nanos;
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
--- /dev/null
+++ b/src/core/door.rs
@@ -0,0 +1,137 @@
+//! What is handed in: what can be told at once, what is taken on, and the journal before the answer.
+use super::held::{weigh, Held};
+use super::orders::{Answer, Order};
+use super::Core;
+use crate::interface::{Action, Event, MsgId, Nanos};
+use crate::journal::{self, End, Record};
+use crate::plugins::Verdict;
+use crate::request::{Outlook, RequestContext};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A line that would come with each request comes once in so many seconds.
+const LOG_EACH: f64 = 1.0;
+
+impl Core {
+    /// Decides what can be told at once; else hands the message to the module, and gives its id.
+    pub(super) fn handed(&mut self, id: MsgId, mut context: RequestContext) -> Option<MsgId> {
+        let weight = weigh(&context);
+        let answer = if let Some(delivered) = self.past.delivered(&context.name, &context.repeat_key) {
+            if delivered {
+                Answer::Delivered
+            } else {
+                Answer::Failed
+            }
+        } else if let Some(held) = self.names.get(&context.name).and_then(|id| self.held.get(id)) {
+            // The same request once more, over a connection that crossed its answer: it is held already.
+            // Guards the clients of open requests against others that use their ids: another message under
+            // the same id is not that one, whichever came first.
+            if held.context.same_message(&context) {
+                Answer::Taken
+            } else {
+                Answer::Reject(self.come_back())
+            }
+        } else if !self.dests.contains(&context.dest) {
+            Answer::Unknown
+        } else if context.deadline <= self.now {
+            Answer::Failed
+        } else if self.open >= self.settings.open_cap || self.ledger.stuck() {
+            Answer::Reject(self.come_back())
+        } else if self.weight + self.past.weight() + weight > self.ledger.room() {
+            if self.now >= self.room_log {
+                log::warn!("reject: no room in the journal");
+                self.room_log = self.now + LOG_EACH;
+            }
+            Answer::Reject(self.come_back())
+        } else if let Verdict::Pass(tags) = self.plugins.request(&context, self.outlook(&context)) {
+            context.tags = tags;
+            self.keep(id, context);
+            if let Some(h) = self.held.get(&id) {
+                self.events.push(Event::Message(h.message(id)));
+            }
+            return Some(id);
+        } else {
+            log::info!("reject: a script's word on {}", context.name);
+            Answer::Reject(self.come_back())
+        };
+        self.orders.push(Order::Answer(id, answer));
+        None
+    }
+
+    /// When a client that is turned away here may come again.
+    pub(super) fn come_back(&self) -> Option<Nanos> {
+        self.settings.retry_after.map(|top| Nanos::from_secs(1.0).min(top))
+    }
+
+    pub(super) fn outlook(&self, context: &RequestContext) -> Outlook<'_> {
+        Outlook {
+            class: self.site.classes.get(context.class).map_or("", String::as_str),
+            tenant: self.site.tenants.get(context.tenant).map_or("", String::as_str),
+            left: context.deadline - self.now,
+        }
+    }
+
+    pub(super) fn keep(&mut self, id: MsgId, context: RequestContext) {
+        let weight = weigh(&context);
+        self.weight += weight;
+        self.open += 1;
+        self.names.insert(context.name.clone(), id);
+        let context = Arc::new(context);
+        let (tries, out, maybe, end, heard, logged) = (0, None, None, None, false, false);
+        let held = Held { context, tries, out, maybe, end, heard, logged, weight };
+        self.held.insert(id, held);
+    }
+
+    pub(super) fn withdrawn(&mut self, id: MsgId) {
+        if self.held.get(&id).is_some_and(|h| h.end.is_none()) {
+            self.events.push(Event::Gone(id));
+            self.end(id, End::Withdrawn);
+        }
+    }
+
+    /// Answers the clients of this moment's requests. What is taken on is in the journal before that.
+    pub(super) fn answer(&mut self, handed: &[MsgId], actions: &[Action]) {
+        let mut rejects = BTreeMap::new();
+        for action in actions {
+            match action {
+                Action::Refuse { id, after } => rejects.insert(*id, Answer::Reject(*after)),
+                Action::Fail(id) => rejects.insert(*id, Answer::Failed),
+                _ => None,
+            };
+        }
+        for id in handed {
+            let Some(h) = self.held.get(id) else { continue };
+            let context = h.context.clone();
+            let answer = match rejects.get(id) {
+                Some(answer) => *answer,
+                None if self.take_on(*id) => {
+                    log::debug!("taken on: {} for dest {}", context.name, context.dest);
+                    Answer::Taken
+                }
+                None => {
+                    self.events.push(Event::Gone(*id));
+                    self.wake = Some(self.now);
+                    Answer::Reject(self.come_back())
+                }
+            };
+            if answer != Answer::Taken {
+                self.forget(*id);
+            }
+            self.orders.push(Order::Answer(*id, answer));
+        }
+    }
+
+    /// Whether the journal has the message.
+    pub(super) fn take_on(&mut self, id: MsgId) -> bool {
+        let Some(h) = self.held.get(&id) else { return false };
+        let record = Record::Taken(h.taken(id));
+        if self.ledger.is_full(self.now, journal::size(&record)) {
+            self.write_anew();
+        }
+        let logged = self.ledger.first(self.now, &record);
+        if let Some(h) = self.held.get_mut(&id) {
+            h.logged = logged;
+        }
+        logged
+    }
+}
--- /dev/null
+++ b/src/core/ends.rs
@@ -0,0 +1,129 @@
+//! Ends: told once, kept until they are heard of, remembered for repeats.
+use super::held::owes_word;
+use super::orders::Order;
+use super::Core;
+use crate::interface::{Effect, MsgId, Nanos};
+use crate::journal::{End, Record};
+use crate::request::RequestContext;
+use std::collections::hash_map::Entry::Occupied;
+
+/// How long beyond its time a message that is over is remembered, in seconds.
+const REMEMBER: f64 = 2.0;
+
+/// A message that is handed back so shortly before its time, in seconds, does not run after a restart either.
+const TIME_UP: f64 = 0.05;
+
+impl Core {
+    /// The message is over for its client.
+    pub(super) fn end(&mut self, id: MsgId, end: End) {
+        let now = self.now;
+        let Some(h) = self.held.get_mut(&id).filter(|h| h.end.is_none()) else { return };
+        let context = h.context.clone();
+        // One that is held back never went out; the module still waits to hear of it.
+        if let Some(attempt) = h.out.as_ref().filter(|o| o.held_back).map(|o| o.attempt) {
+            self.take_out(id);
+            self.not_sent(id, attempt, true);
+        }
+        log::debug!(
+            "over: {} as {end:?}, {:.3} s before its time",
+            context.name,
+            (context.deadline - now).secs()
+        );
+        let record = |end| Record::Ended { id: id.0, at: now.0, end };
+        let written = self.ledger.first(now, &record(end));
+        let end = if written { end } else { self.end_unwritten(&context, end) };
+        self.close(id, end);
+        let Some(h) = self.held.get_mut(&id) else { return };
+        let word = owes_word(&context, end).then(|| Order::Notice(h.notice(id, end)));
+        if written {
+            self.orders.extend(word);
+        } else {
+            // What is given up has its answer at once. That it was delivered can wait: after a kill, the word
+            // would be another one.
+            let (now_told, later) = if end == End::Delivered { (None, word) } else { (word, None) };
+            self.orders.extend(now_told);
+            self.ledger.keep(now, record(end), later);
+        }
+        self.remember(&context, now, end);
+        self.drop_if_done(id);
+    }
+
+    /// What a client is told where the journal cannot know of it yet. Guards "no double effect": a process that is
+    /// killed now takes the message up again, so its client must not be told that coming again is harmless.
+    pub(super) fn end_unwritten(&self, context: &RequestContext, end: End) -> End {
+        let effect = self.settings.classes.get(context.class).map(|c| c.effect);
+        let runs_again = (context.deadline - self.now).secs() > TIME_UP;
+        match end {
+            End::Deferred(_) if effect == Some(Effect::Once) && runs_again => End::Undeliverable,
+            _ => end,
+        }
+    }
+
+    pub(super) fn close(&mut self, id: MsgId, end: End) {
+        let Some(h) = self.held.get_mut(&id) else { return };
+        h.end = Some(end);
+        self.open -= 1;
+        if let Some(key) = h.context.key {
+            *self.unheard.entry(key).or_default() += 1;
+        }
+    }
+
+    pub(super) fn heard(&mut self, id: MsgId) {
+        let Some(h) = self.held.get_mut(&id).filter(|h| h.end.is_some() && !h.heard) else { return };
+        h.heard = true;
+        let key = h.context.key;
+        self.free(key);
+        self.drop_if_done(id);
+    }
+
+    /// One message fewer of this key is over and not heard of.
+    pub(super) fn free(&mut self, key: Option<u64>) {
+        let Some(key) = key else { return };
+        if let Occupied(mut left) = self.unheard.entry(key) {
+            *left.get_mut() -= 1;
+            if *left.get() == 0 {
+                left.remove();
+                self.held_back.extend(self.parked.remove(&key).unwrap_or_default());
+            }
+        }
+    }
+
+    /// One that was handed back or withdrawn may come again as if new.
+    pub(super) fn remember(&mut self, context: &RequestContext, at: Nanos, end: End) {
+        if !matches!(end, End::Delivered | End::Undeliverable) {
+            return;
+        }
+        let class = self.settings.classes.get(context.class);
+        let window = match class.map(|c| c.effect) {
+            Some(Effect::Keyed { window, .. }) => window,
+            _ => Nanos(0),
+        };
+        let until = context.deadline.max(at + window) + REMEMBER;
+        let (name, repeat_key) = (context.name.clone(), context.repeat_key.clone());
+        self.past.forget(self.now);
+        self.past.add(name, repeat_key, until, end == End::Delivered);
+    }
+
+    pub(super) fn drop_if_done(&mut self, id: MsgId) {
+        let Some(h) = self.held.get(&id) else { return };
+        let told = h.end.is_some_and(|end| h.heard || !owes_word(&h.context, end));
+        if told && h.out.is_none() {
+            self.forget(id);
+        }
+    }
+
+    pub(super) fn forget(&mut self, id: MsgId) {
+        self.take_out(id);
+        if let Some(h) = self.held.remove(&id) {
+            self.weight -= h.weight;
+            match h.end {
+                None => self.open -= 1,
+                Some(_) if !h.heard => self.free(h.context.key),
+                Some(_) => {}
+            }
+            if self.names.get(&h.context.name) == Some(&id) {
+                self.names.remove(&h.context.name);
+            }
+        }
+    }
+}
--- a/src/core/faults.rs
+++ b/src/core/faults.rs
@@ -1,8 +1,9 @@
 //! The core on a disk that fails at any call, and on one that a kill cuts off: what a partner is sent, what clients
 //! are told, and what the journal holds at that moment. Virtual time, no wire, the same seed the same run.
 use super::*;
+use crate::interface::{Class, Effect, Group, Kind, Listed, Outcome, Weights};
 use crate::journal::{self, Disk, Tail};
-use micaladder::{Class, Group, Kind, Weights};
+use crate::request::RequestContext;
 use std::collections::HashSet;
 use std::io;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -315,6 +316,7 @@
                 }
             }
         }
+        self.indexes_agree();
         assert!(
             self.disk.model.size() as u64 <= self.most,
             "seed {}: {} bytes",
@@ -323,6 +325,31 @@
         );
     }
 
+    /// What is counted and found by index is what a look at all that is held gives.
+    fn indexes_agree(&self) {
+        let (core, seed) = (&self.core, self.seed);
+        let out = |(id, h): (&MsgId, &Held)| {
+            Some((*id, h.context.key, h.out.as_ref()?.host, h.out.as_ref()?.held_back))
+        };
+        let out: Vec<_> = core.held.iter().filter_map(out).collect();
+        assert_eq!(core.busy.all(), out.len(), "seed {seed}: tries that are out");
+        for host in core.hosts.keys() {
+            assert_eq!(
+                core.busy.at(*host),
+                out.iter().any(|o| o.2 == *host),
+                "seed {seed}: tries at {host:?}"
+            );
+        }
+        for (id, key, ..) in out.iter().filter(|o| o.3) {
+            let parked = key.and_then(|k| core.parked.get(&k)).is_some_and(|ids| ids.contains(id));
+            assert!(parked, "seed {seed}: {id:?} is held back and nothing will look at it");
+            assert!(
+                key.is_some_and(|k| core.unheard.contains_key(&k)),
+                "seed {seed}: the key of {id:?} is free"
+            );
+        }
+    }
+
     fn call(&mut self, one: &Try) {
         let tries = self.tries.entry(one.id.0).or_default();
         *tries += 1;
--- /dev/null
+++ b/src/core/group.rs
@@ -0,0 +1,48 @@
+//! What discovery lists: the members of the upstream group, from their first line to their last try.
+use super::orders::{Member, Order};
+use super::Core;
+use crate::interface::{DestId, Entry, Event, HostId, Listed};
+use std::collections::BTreeSet;
+
+impl Core {
+    pub(super) fn group(&mut self, whole: bool, members: Vec<Member>) {
+        let mut entries = Vec::new();
+        let standing = if whole { self.standing.clone() } else { Vec::new() };
+        for m in members.into_iter().chain(standing) {
+            let host = *self.uids.entry(m.uid.clone()).or_insert_with(|| {
+                self.next_host += 1;
+                HostId(self.next_host)
+            });
+            self.dests.insert(m.dest);
+            let (zone, kind, dest, state, rate) = (m.zone, m.kind, DestId(m.dest), m.state, m.rate);
+            entries.push(Entry { host, zone, kind, dest, state, rate });
+            self.hosts.insert(host, m);
+        }
+        let named: BTreeSet<HostId> = entries.iter().map(|e| e.host).collect();
+        for (host, m) in &mut self.hosts {
+            if whole && !named.contains(host) {
+                m.state = Listed::Gone;
+            }
+            match m.state {
+                Listed::Gone => self.leaving.insert(*host),
+                _ => self.leaving.remove(host),
+            };
+        }
+        self.events.push(Event::List { whole, entries });
+    }
+
+    /// Guards against days on which endpoints come and go: what is kept of one ends with its last try. Should
+    /// it be listed again, it is a new one, and no connection of the old one serves it.
+    pub(super) fn retire(&mut self) {
+        if self.leaving.is_empty() {
+            return;
+        }
+        for host in self.leaving.extract_if(.., |h| !self.busy.at(*h)) {
+            if let Some(m) = self.hosts.remove(&host) {
+                log::debug!("retired: {} of dest {}", m.uid, m.dest);
+                self.uids.remove(&m.uid);
+                self.orders.push(Order::Release(host));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/held.rs
@@ -0,0 +1,110 @@
+//! One held message: its tries, what may have run, its end, and the records that the journal needs of it.
+use super::orders::Notice;
+use crate::interface::{DestId, HostId, Message, MsgId, Nanos};
+use crate::journal::{End, Journal, Record, Taken};
+use crate::past::Past;
+use crate::request::RequestContext;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+pub(super) struct Out {
+    pub(super) attempt: u32,
+    pub(super) started: Nanos,
+    pub(super) zone: usize,
+    /// Waits for an earlier message's notice, or for this moment to end; not on its way yet, nor in the journal.
+    pub(super) held_back: bool,
+    pub(super) host: HostId,
+    pub(super) timeout: Nanos,
+}
+
+pub(super) struct Held {
+    pub(super) context: Arc<RequestContext>,
+    pub(super) tries: u32,
+    pub(super) out: Option<Out>,
+    /// When, and in which zone, the first try started that may have run.
+    pub(super) maybe: Option<(Nanos, usize)>,
+    /// Set once the message is over; it is kept for its try and its notice.
+    pub(super) end: Option<End>,
+    pub(super) heard: bool,
+    /// The journal knows of it.
+    pub(super) logged: bool,
+    pub(super) weight: u64,
+}
+
+impl Held {
+    pub(super) fn message(&self, id: MsgId) -> Message {
+        let c = &self.context;
+        Message {
+            id,
+            class: c.class,
+            tenant: c.tenant,
+            key: c.key,
+            dest: DestId(c.dest),
+            deadline: c.deadline,
+        }
+    }
+
+    pub(super) fn notice(&self, id: MsgId, end: End) -> Notice {
+        Notice { id, name: self.context.name.clone(), origin: self.context.origin.clone(), end }
+    }
+
+    pub(super) fn taken(&self, id: MsgId) -> Taken {
+        let c = &self.context;
+        Taken {
+            id: id.0,
+            name: c.name.clone(),
+            origin: c.origin.clone(),
+            class: c.class as u32,
+            tenant: c.tenant as u32,
+            key: c.key,
+            dest: c.dest,
+            deadline: c.deadline.0,
+            repeat_key: c.repeat_key.clone(),
+            body: c.body.clone(),
+        }
+    }
+
+    /// All that the journal must say of it, in the fewest records.
+    pub(super) fn records(&self, id: MsgId, now: Nanos) -> Vec<Record> {
+        let mut records = vec![Record::Taken(self.taken(id))];
+        if let Some(end) = self.end {
+            records.push(Record::Ended { id: id.0, at: now.0, end });
+            records.extend(self.heard.then_some(Record::Heard { id: id.0 }));
+            return records;
+        }
+        let done = self.tries - u32::from(self.out.is_some());
+        if done > 0 {
+            let (at, zone) = self.maybe.map_or((0, 0), |(at, zone)| (at.0, zone as u32));
+            records.push(Record::Started { id: id.0, at, zone, before: done - 1 });
+            records.push(Record::Outcome { id: id.0, may_have_run: self.maybe.is_some() });
+        }
+        let out = self.out.as_ref().filter(|o| !o.held_back);
+        records.extend(out.map(|o| {
+            let (at, zone) = (o.started.0, o.zone as u32);
+            Record::Started { id: id.0, at, zone, before: 0 }
+        }));
+        records
+    }
+}
+
+/// All that the journal must say, in the fewest records.
+pub(super) fn records<'a>(
+    held: &'a BTreeMap<MsgId, Held>, past: &'a Past, now: Nanos,
+) -> impl Iterator<Item = Record> + 'a {
+    let known = held.iter().filter(|(_, h)| h.logged);
+    past.records().chain(known.flat_map(move |(id, h)| h.records(*id, now)))
+}
+
+/// Bytes that the journal must keep for a message.
+pub(super) fn weigh(c: &RequestContext) -> u64 {
+    Journal::weight(&c.name, &c.origin, &c.repeat_key, c.body.len())
+}
+
+/// Whether somebody is still to be told of this end.
+pub(super) fn owes_word(context: &RequestContext, end: End) -> bool {
+    match end {
+        End::Withdrawn => false,
+        End::Delivered => !context.origin.is_empty(),
+        End::Undeliverable | End::Deferred(_) => true,
+    }
+}
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -14,7 +14,7 @@
 //! message that is held adds its outcome, its end and its notice at the most.
 use super::Order;
 use crate::journal::{Fault, Journal, Record};
-use micaladder::Nanos;
+use crate::Nanos;
 use std::collections::VecDeque;
 
 /// The first and the longest pause before a disk that failed is tried again, in seconds. The first is that of a
--- /dev/null
+++ b/src/core/orders.rs
@@ -0,0 +1,82 @@
+//! What the core takes in and what it gives out: inputs, answers, tries, notices, orders. Knows no wire.
+use crate::interface::{HostId, Listed, MsgId, Nanos, Outcome};
+use crate::journal::End;
+use crate::request::RequestContext;
+use std::sync::Arc;
+
+/// What a client is told of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    Taken,
+    /// A repeat of one that was delivered.
+    Delivered,
+    /// Coming again is harmless, after this time if told.
+    Reject(Option<Nanos>),
+    /// No member of the upstream group is for its dest.
+    Unknown,
+    Failed,
+}
+
+/// One member of the upstream group.
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub uid: String,
+    pub address: String,
+    pub zone: usize,
+    pub kind: usize,
+    pub dest: u64,
+    pub state: Listed,
+    pub rate: f64,
+}
+
+/// What happened.
+pub enum Input {
+    Group {
+        whole: bool,
+        members: Vec<Member>,
+    },
+    Handed {
+        id: MsgId,
+        context: RequestContext,
+    },
+    /// The client went before its answer.
+    Withdrawn(MsgId),
+    /// `over`: the endpoint says that nothing more is owed.
+    TryEnded {
+        id: MsgId,
+        attempt: u32,
+        outcome: Outcome,
+        over: bool,
+    },
+    NoticeHeard(MsgId),
+}
+
+/// One attempt at delivery.
+#[derive(Clone, Debug)]
+pub struct Try {
+    pub id: MsgId,
+    pub attempt: u32,
+    pub host: HostId,
+    pub address: String,
+    pub timeout: Nanos,
+    pub context: Arc<RequestContext>,
+}
+
+/// What a client hears of a message that was taken on and not delivered.
+#[derive(Clone, Debug)]
+pub struct Notice {
+    pub id: MsgId,
+    pub name: String,
+    /// The front that is to pass it on; empty for the platform's own.
+    pub origin: String,
+    pub end: End,
+}
+
+/// What is to be done.
+pub enum Order {
+    Answer(MsgId, Answer),
+    Try(Try),
+    GiveUp { id: MsgId, attempt: u32 },
+    Release(HostId),
+    Notice(Notice),
+}
--- /dev/null
+++ b/src/core/restart.rs
@@ -0,0 +1,82 @@
+//! What the journal says at a start: messages that are still owed, and tries that may have run.
+use super::held::{owes_word, Out};
+use super::orders::Order;
+use super::Core;
+use crate::interface::{Event, HostId, MsgId, Nanos, Past as Before};
+use crate::journal::Record;
+use crate::request::RequestContext;
+
+impl Core {
+    pub(super) fn replay(&mut self, record: Record) {
+        match record {
+            Record::Taken(t) => {
+                let id = MsgId(t.id);
+                self.next = self.next.max(t.id + 1);
+                let context = RequestContext {
+                    name: t.name,
+                    origin: t.origin,
+                    class: t.class as usize,
+                    tenant: t.tenant as usize,
+                    key: t.key,
+                    dest: t.dest,
+                    deadline: Nanos(t.deadline),
+                    repeat_key: t.repeat_key,
+                    body: t.body,
+                    tags: Vec::new(),
+                };
+                self.keep(id, context);
+                if let Some(h) = self.held.get_mut(&id) {
+                    h.logged = true;
+                }
+            }
+            Record::Started { id, at, zone, before } => {
+                if let Some(h) = self.held.get_mut(&MsgId(id)) {
+                    h.tries += before;
+                    let (started, zone) = (Nanos(at), zone as usize);
+                    let (host, timeout) = (HostId(0), Nanos(0));
+                    let out = Out { attempt: h.tries, started, zone, held_back: false, host, timeout };
+                    h.tries += 1;
+                    self.put_out(MsgId(id), out);
+                }
+            }
+            Record::Outcome { id, may_have_run } => {
+                self.ran(MsgId(id), may_have_run);
+            }
+            Record::Ended { id, at, end } => {
+                if let Some(h) = self.held.get_mut(&MsgId(id)).filter(|h| h.end.is_none()) {
+                    let (context, at) = (h.context.clone(), Nanos(at));
+                    self.take_out(MsgId(id));
+                    self.close(MsgId(id), end);
+                    self.remember(&context, at, end);
+                    self.drop_if_done(MsgId(id));
+                }
+            }
+            Record::Heard { id } => self.heard(MsgId(id)),
+            Record::Past { name, repeat_key, until, delivered } => {
+                self.past.add(name, repeat_key, Nanos(until), delivered)
+            }
+        }
+    }
+
+    pub(super) fn resume(&mut self) {
+        let out: Vec<MsgId> = self.held.iter().filter(|(_, h)| h.out.is_some()).map(|(id, _)| *id).collect();
+        for id in out {
+            // Guards "no double effect" across restarts: a try that was out may have run.
+            self.ran(id, true);
+        }
+        let now = self.now;
+        self.past.forget(now);
+        for (id, h) in &self.held {
+            if let Some(end) = h.end {
+                self.orders.extend(owes_word(&h.context, end).then(|| Order::Notice(h.notice(*id, end))));
+            } else {
+                let past = Before { tries: h.tries, maybe: h.maybe };
+                self.events.push(Event::Resumed(h.message(*id), past));
+            }
+        }
+        if !self.held.is_empty() {
+            log::info!("taken up from the journal: {} messages", self.held.len());
+            self.wake = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/tries.rs
@@ -0,0 +1,139 @@
+//! Tries: held back, started once the journal knows of them, ended.
+use super::held::Out;
+use super::orders::{Order, Try};
+use super::Core;
+use crate::interface::{Ended, Event, HostId, MsgId, Nanos, Outcome};
+use crate::journal::{End, Record};
+use std::collections::BTreeMap;
+
+/// How long a try may be held back for an earlier message's notice and still go as it was decided, in seconds.
+const HELD_BACK_MOST: f64 = 0.05;
+
+/// How many tries are out, in all and at each endpoint.
+#[derive(Default)]
+pub(super) struct Busy {
+    hosts: BTreeMap<HostId, usize>,
+    all: usize,
+}
+
+impl Busy {
+    pub(super) fn all(&self) -> usize {
+        self.all
+    }
+    pub(super) fn at(&self, host: HostId) -> bool {
+        self.hosts.contains_key(&host)
+    }
+    fn add(&mut self, host: HostId) {
+        *self.hosts.entry(host).or_default() += 1;
+        self.all += 1;
+    }
+    fn remove(&mut self, host: HostId) {
+        self.all -= 1;
+        if let Some(n) = self.hosts.get_mut(&host) {
+            *n -= 1;
+            if *n == 0 {
+                self.hosts.remove(&host);
+            }
+        }
+    }
+}
+
+impl Core {
+    /// The message has a try out. With `take_out` the only place that says so: `busy` agrees with what is held.
+    pub(super) fn put_out(&mut self, id: MsgId, out: Out) {
+        let Some(h) = self.held.get_mut(&id) else { return };
+        self.busy.add(out.host);
+        if let Some(before) = h.out.replace(out) {
+            self.busy.remove(before.host);
+        }
+    }
+
+    /// The message has no try out any more; gives the one that it had.
+    pub(super) fn take_out(&mut self, id: MsgId) -> Option<Out> {
+        let out = self.held.get_mut(&id)?.out.take()?;
+        self.busy.remove(out.host);
+        Some(out)
+    }
+
+    /// The message's try is over, and may have run or did not.
+    pub(super) fn ran(&mut self, id: MsgId, may_have_run: bool) {
+        let Some(out) = self.take_out(id).filter(|o| may_have_run && !o.held_back) else { return };
+        if let Some(h) = self.held.get_mut(&id) {
+            h.maybe.get_or_insert((out.started, out.zone));
+        }
+    }
+
+    pub(super) fn try_ended(&mut self, id: MsgId, attempt: u32, outcome: Outcome, over: bool) {
+        let Some(h) = self.held.get_mut(&id) else { return };
+        let Some(out) = h.out.as_ref().filter(|o| o.attempt == attempt) else { return };
+        let took = self.now - out.started;
+        let may_have_run = !outcome.never_ran();
+        let context = h.context.clone();
+        self.ran(id, may_have_run);
+        self.plugins.outcome(&context, self.outlook(&context), &format!("{outcome:?}"));
+        self.events.push(Event::Ended(Ended { id, attempt, outcome, over, took, report: None }));
+        if outcome == Outcome::Ok || over {
+            let end = if outcome == Outcome::Ok { End::Delivered } else { End::Withdrawn };
+            if self.held[&id].end.is_none() {
+                self.end(id, end);
+            } else if outcome == Outcome::Ok {
+                log::warn!("delivered after its end: {}", self.held[&id].context.name);
+            }
+        } else if self.held[&id].end.is_none() {
+            self.ledger.keep(self.now, Record::Outcome { id: id.0, may_have_run }, None);
+        }
+        self.drop_if_done(id);
+    }
+
+    pub(super) fn send(&mut self, id: MsgId, host: HostId, timeout: Nanos) {
+        let (now, zone) = (self.now, self.hosts.get(&host).map_or(0, |m| m.zone));
+        let Some(h) = self.held.get_mut(&id) else {
+            // Guards the slots: the module waits to hear of a try whose message was not taken on after all.
+            return self.not_sent(id, 0, true);
+        };
+        // Guards "order by key": a message that ends by a notice is over only once the notice is answered.
+        let out = Out { attempt: h.tries, started: now, zone, held_back: true, host, timeout };
+        h.tries += 1;
+        self.put_out(id, out);
+        self.held_back.insert(id);
+    }
+
+    /// Starts the tries whose key is free. The journal knows of a try before its first byte goes out.
+    pub(super) fn release_held_back(&mut self) {
+        for id in std::mem::take(&mut self.held_back) {
+            let Some(h) = self.held.get_mut(&id) else { continue };
+            let Some(out) = h.out.as_mut().filter(|o| o.held_back) else { continue };
+            if let Some(key) = h.context.key.filter(|k| self.unheard.contains_key(k)) {
+                self.parked.entry(key).or_default().push(id);
+                continue;
+            }
+            if (self.now - out.started).secs() > HELD_BACK_MOST {
+                // Guards waits and drains: a word that came since may forbid what was decided before it. The
+                // module decides anew.
+                let attempt = out.attempt;
+                self.take_out(id);
+                self.not_sent(id, attempt, false);
+                continue;
+            }
+            let (attempt, host, timeout, zone) = (out.attempt, out.host, out.timeout, out.zone as u32);
+            // Guards "no double effect" across restarts: what the journal does not know of does not start.
+            if !self.ledger.first(self.now, &Record::Started { id: id.0, at: self.now.0, zone, before: 0 }) {
+                self.take_out(id);
+                self.not_sent(id, attempt, false);
+                continue;
+            }
+            (out.held_back, out.started) = (false, self.now);
+            let timeout = timeout.min(h.context.deadline - self.now);
+            let context = h.context.clone();
+            let address = self.hosts.get(&host).map(|m| m.address.clone()).unwrap_or_default();
+            self.orders.push(Order::Try(Try { id, attempt, host, address, timeout, context }));
+        }
+    }
+
+    /// Tells the module of a try that did not start.
+    pub(super) fn not_sent(&mut self, id: MsgId, attempt: u32, over: bool) {
+        let (outcome, took) = (Outcome::Moot, Nanos(0));
+        self.events.push(Event::Ended(Ended { id, attempt, outcome, over, took, report: None }));
+        self.wake = Some(self.now);
+    }
+}
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -2,11 +2,11 @@
 use crate::core::Member;
 use crate::exchange::Exchange;
 use crate::settings::{GroupUpdate, Site, Target};
+use crate::Listed;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use micaladder::Listed;
 use miniserde::json;
 use std::sync::Arc;
 use std::time::Duration;
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -1,9 +1,10 @@
 //! The one object in which client side and server side meet. Clients hand requests in and wait for answers;
 //! the server side takes tries and notices from it and brings their outcomes back. Neither knows the other.
 use crate::clock;
-use crate::core::{Answer, Core, Input, Member, Notice, Order, RequestContext, Try};
+use crate::core::{Answer, Core, Input, Member, Notice, Order, Try};
+use crate::request::RequestContext;
+use crate::{HostId, MsgId, Outcome};
 use bytes::Bytes;
-use micaladder::{HostId, MsgId, Outcome};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,10 +41,33 @@
 //! relay.handle(now + took, &[Event::Ended(ended)], &mut actions);
 //! assert!(actions.iter().all(|a| !matches!(a, Action::Send { .. })));
 //! ```
-#![deny(missing_docs)]
+//!
+//! The rest of the crate is the daemon's parts, so that tools, models and benchmarks drive what is shipped:
+//! [`core`] and [`journal`] without a wire, the wires themselves in [`client`] and [`upstream`], which meet in
+//! [`exchange`]. `main.rs` only wires them together.
 #![forbid(unsafe_code)]
+#[deny(missing_docs)]
 mod interface;
+#[deny(missing_docs)]
 mod logic;
 mod state;
+
+pub mod acme;
+pub mod as2;
+pub mod client;
+pub mod clock;
+pub mod core;
+pub mod discovery;
+pub mod exchange;
+pub mod journal;
+pub mod logger;
+pub mod notices;
+pub mod past;
+pub mod plugins;
+pub mod reload;
+pub mod request;
+pub mod settings;
+pub mod upstream;
+
 pub use interface::*;
 pub use logic::Balancer;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,21 +1,9 @@
 //! The daemon: wires its parts together and sees them through start and stop.
 #![forbid(unsafe_code)]
-mod acme;
-mod as2;
-mod client;
-mod clock;
-mod core;
-mod discovery;
-mod exchange;
-mod journal;
-mod logger;
-mod notices;
-mod past;
-mod plugins;
-mod reload;
-mod settings;
-mod upstream;
-
+use micaladder::{
+    acme, as2, client, clock, core, discovery, exchange, journal, logger, notices, plugins, reload, settings,
+    upstream,
+};
 use std::error::Error;
 use std::process::ExitCode;
 use std::sync::Arc;
--- a/src/past.rs
+++ b/src/past.rs
@@ -1,7 +1,7 @@
 //! What is remembered of messages that are over, so that their repeats are answered alike. Found by name and by
 //! key, and forgotten in time: the cost of a hand-in does not grow with what was.
 use crate::journal::{Journal, Record};
-use micaladder::Nanos;
+use crate::Nanos;
 use std::collections::{BTreeMap, HashMap};
 
 struct Gone {
--- a/src/plugins.rs
+++ b/src/plugins.rs
@@ -1,5 +1,5 @@
 //! Plug-ins: scripts (rhai) that see each request context and each outcome. `docs/plugins.md` tells how.
-use crate::core::{Outlook, RequestContext};
+use crate::request::{Outlook, RequestContext};
 use rhai::{CallFnOptions, Dynamic, Engine, Map, Scope, AST};
 use std::path::Path;
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! The configuration and the settings in it: read at the start and on SIGHUP, into what the program uses.
+use crate::{Class, Effect, Fade, Group, Kind, Nanos, Settings, Weights};
 use hyper::http::uri::Authority;
-use micaladder::{Class, Effect, Fade, Group, Kind, Nanos, Settings, Weights};
 use miniserde::{json, Deserialize};
 use std::error::Error;
 use std::net::SocketAddr;
--- a/src/upstream/as2.rs
+++ b/src/upstream/as2.rs
@@ -5,11 +5,11 @@
 use crate::as2::{Book, Partner};
 use crate::core::Try;
 use crate::exchange::Exchange;
+use crate::Outcome;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::CONTENT_TYPE;
 use hyper::Request;
-use micaladder::Outcome;
 
 const RECEIPT_MOST: usize = 256 * 1024;
 
--- a/src/upstream/platform.rs
+++ b/src/upstream/platform.rs
@@ -2,13 +2,13 @@
 use super::tap::Watch;
 use super::{Ending, Pool};
 use crate::core::Try;
+use crate::{Nanos, Outcome};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, CONNECTION, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::client::legacy::Error;
-use micaladder::{Nanos, Outcome};
 use std::time::Duration;
 use tokio::time::timeout;
 
