--- a/examples/large-stats.rhai
+++ b/examples/large-stats.rhai
@@ -1,4 +1,4 @@
-// Turns away statistics that are too large, and tags the rest. Try it with MICALADDER_PLUGINS=examples.
+// Turns away statistics that are too large, and tags the rest. Try it with --plugins examples.
 fn on_request(request) {
     if request.class == "stats-push" && request.size > 20000 {
         return "reject";
--- a/src/as2/mod.rs
+++ b/src/as2/mod.rs
@@ -1,4 +1,5 @@
 //! What both sides of the AS2 front share (RFC 4130): its partners, S/MIME and receipts.
+pub mod check;
 pub mod mdn;
 pub mod smime;
 
@@ -11,12 +12,12 @@
 use std::path::Path;
 use x509_cert::Certificate;
 
-/// Where the file lies, unless `MICALADDER_AS2` names another.
-const FILE: &str = "deploy/as2.json";
+/// Where the file lies, unless another is named.
+pub const FILE: &str = "deploy/as2.json";
 const PREFIX: &str = "as2:";
 
 /// The AS2 front's file. It is off unless `enabled` says otherwise.
-#[derive(Deserialize)]
+#[derive(Deserialize, serde::Deserialize)]
 struct File {
     enabled: bool,
     listen: String,
@@ -29,7 +30,7 @@
 }
 
 /// From whom the listener's TLS certificate comes. Without it, the listener speaks plain HTTP.
-#[derive(Deserialize, Clone)]
+#[derive(Deserialize, serde::Deserialize, Clone)]
 pub struct Acme {
     pub directory: String,
     pub domain: String,
@@ -40,7 +41,7 @@
     pub retry_s: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, serde::Deserialize)]
 struct FilePartner {
     name: String,
     certificate: String,
@@ -83,19 +84,23 @@
 }
 
 /// Reads the file; none if there is none or it says that the front is off.
-pub fn book() -> Result<Option<Book>, Box<dyn Error>> {
-    let path = std::env::var("MICALADDER_AS2").unwrap_or_else(|_| FILE.to_string());
-    let Ok(text) = std::fs::read_to_string(&path) else { return Ok(None) };
-    let file: File = json::from_str(&text).map_err(|_| format!("{path}: not a file of AS2 partners"))?;
+///
+/// # Errors
+///
+/// A file, a key or a certificate that cannot be read, named.
+pub fn book(path: &Path) -> Result<Option<Book>, Box<dyn Error>> {
+    let Ok(text) = std::fs::read_to_string(path) else { return Ok(None) };
+    let file: File = json::from_str(&text).map_err(|_| crate::check::why::<File>(path, &text))?;
     if !file.enabled {
         return Ok(None);
     }
     // Keys lie beside the file unless they say where.
-    let folder = Path::new(&path).parent().unwrap_or(Path::new("."));
-    let read =
-        |name: &str| std::fs::read_to_string(folder.join(name)).map_err(|e| format!("{path}: {name}: {e}"));
+    let folder = path.parent().unwrap_or(Path::new("."));
+    let read = |name: &str| {
+        std::fs::read_to_string(folder.join(name)).map_err(|e| format!("{}: {name}: {e}", path.display()))
+    };
     let certificate = |name: &str| -> Result<Certificate, Box<dyn Error>> {
-        Certificate::from_pem(read(name)?).map_err(|e| format!("{path}: {name}: {e}").into())
+        Certificate::from_pem(read(name)?).map_err(|e| format!("{}: {name}: {e}", path.display()).into())
     };
     let me = Identity::new(&read(&file.key)?, certificate(&file.certificate)?)?;
     let mut partners = Vec::new();
--- a/src/core/door.rs
+++ b/src/core/door.rs
@@ -51,7 +51,7 @@
             }
             return Some(id);
         } else {
-            log::info!("reject: a script's word on {}", context.name);
+            log::info!(message = context.name, dest = context.dest; "reject: a script's word");
             Answer::Reject(self.come_back())
         };
         self.orders.push(Order::Answer(id, answer));
@@ -105,7 +105,7 @@
             let answer = match rejects.get(id) {
                 Some(answer) => *answer,
                 None if self.take_on(*id) => {
-                    log::debug!("taken on: {} for dest {}", context.name, context.dest);
+                    log::debug!(message = context.name, dest = context.dest; "taken on");
                     Answer::Taken
                 }
                 None => {
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -24,11 +24,8 @@
             self.take_out(id);
             self.not_sent(id, attempt, true);
         }
-        log::debug!(
-            "over: {} as {end:?}, {:.3} s before its time",
-            context.name,
-            (context.deadline - now).secs()
-        );
+        let left_s = (context.deadline - now).secs();
+        log::debug!(message = context.name, end:?, left_s; "over");
         let record = |end| Record::Ended { id: id.0, at: now.0, end };
         let written = self.ledger.first(now, &record(end));
         let end = if written { end } else { self.end_unwritten(&context, end) };
--- a/src/core/group.rs
+++ b/src/core/group.rs
@@ -39,7 +39,7 @@
         }
         for host in self.leaving.extract_if(.., |h| !self.busy.at(*h)) {
             if let Some(m) = self.hosts.remove(&host) {
-                log::debug!("retired: {} of dest {}", m.uid, m.dest);
+                log::debug!(host = m.uid, dest = m.dest; "retired");
                 self.uids.remove(&m.uid);
                 self.orders.push(Order::Release(host));
             }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -209,7 +209,7 @@
             Action::Log { text, host } => {
                 let member = host.and_then(|h| self.hosts.get(&h));
                 match member {
-                    Some(m) => log::info!("{text}: {} of dest {}", m.uid, m.dest),
+                    Some(m) => log::info!(host = m.uid, dest = m.dest; "{text}"),
                     None => log::info!("{text}"),
                 }
             }
--- a/src/core/restart.rs
+++ b/src/core/restart.rs
@@ -75,7 +75,7 @@
             }
         }
         if !self.held.is_empty() {
-            log::info!("taken up from the journal: {} messages", self.held.len());
+            log::info!(messages = self.held.len(); "taken up from the journal");
             self.wake = Some(now);
         }
     }
--- a/src/core/tries.rs
+++ b/src/core/tries.rs
@@ -77,7 +77,7 @@
             if self.held[&id].end.is_none() {
                 self.end(id, end);
             } else if outcome == Outcome::Ok {
-                log::warn!("delivered after its end: {}", self.held[&id].context.name);
+                log::warn!(message = context.name, dest = context.dest; "delivered after its end");
             }
         } else if self.held[&id].end.is_none() {
             self.ledger.keep(self.now, Record::Outcome { id: id.0, may_have_run }, None);
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -80,7 +80,7 @@
     match json::from_str::<GroupUpdate>(&text) {
         Ok(update) => {
             *rev = update.rev;
-            log::info!("upstream group: version {rev}, {} lines", update.targets.len());
+            log::info!(lines = update.targets.len(); "upstream group: version {rev}");
             exchange.regroup(update.all, members(site, &update));
         }
         Err(_) => log::warn!("discovery: passed over a line that is no list: {:.80}", text.trim()),
--- /dev/null
+++ b/src/flags.rs
@@ -0,0 +1,141 @@
+//! The command line: what may be said there or in the environment, each with one definition. A flag goes before its
+//! variable. Holds no settings of the platform's own files; those are `settings`.
+use crate::logger::{Filter, Format};
+use clap::parser::ValueSource;
+use clap::{ArgMatches, Args, CommandFactory, FromArgMatches, Parser, Subcommand};
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Forwards messages to partners' endpoints: in time, at most as often as allowed, with one final answer.
+#[derive(Parser, Debug)]
+#[command(
+    name = "micaladder",
+    version,
+    after_help = "Without a command it runs, and takes the flags of run. Exit codes: 0 done, 1 cannot go on, 2 wrong \
+        flags."
+)]
+struct Line {
+    #[command(subcommand)]
+    command: Word,
+}
+
+#[derive(Subcommand, Debug)]
+enum Word {
+    /// Takes messages and delivers them, until SIGTERM. The usual command.
+    Run(Run),
+    /// Reads every file that `run` would read and says what is wrong in them, by file and key; starts nothing.
+    Check(Files),
+    /// Writes a script by which a shell completes this command line.
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+}
+
+/// What is to be done.
+#[derive(Debug)]
+pub enum Command {
+    /// Run the forwarder.
+    Run(Run),
+    /// Read all files and say what is wrong.
+    Check(Files),
+    /// Write the completions of a shell.
+    Completions(clap_complete::Shell),
+}
+
+/// The files that are read.
+#[derive(Args, Debug, Clone)]
+pub struct Files {
+    /// The configuration, JSON.
+    #[arg(long, env = "RELAY_CONFIG", value_name = "FILE")]
+    pub config: PathBuf,
+    /// The AS2 front's file; there need not be one at the usual place.
+    #[arg(long, env = "MICALADDER_AS2", value_name = "FILE", default_value = crate::as2::FILE)]
+    pub as2: PathBuf,
+    /// The folder of scripts; there need not be one.
+    #[arg(long, env = "MICALADDER_PLUGINS", value_name = "FOLDER", default_value = crate::plugins::FOLDER)]
+    pub plugins: PathBuf,
+}
+
+/// What a forwarder is told at its start.
+#[derive(Args, Debug, Clone)]
+pub struct Run {
+    #[command(flatten)]
+    pub files: Files,
+    /// The folder that lasts: the journal lies there.
+    #[arg(long, env = "RELAY_STATE", value_name = "FOLDER")]
+    pub state: PathBuf,
+    /// Its name, the same after a restart; else the configuration's.
+    #[arg(long, env = "RELAY_NAME")]
+    pub name: Option<String>,
+    /// Where clients connect; else the configuration's.
+    #[arg(long, env = "RELAY_LISTEN", value_name = "IP:PORT")]
+    pub listen: Option<SocketAddr>,
+    /// Where discovery is; else the configuration's.
+    #[arg(long, env = "RELAY_DISCOVERY", value_name = "HOST:PORT")]
+    pub discovery: Option<String>,
+    #[command(flatten)]
+    pub log: Log,
+    /// Which of the settings that stand before keys were flags, and not variables.
+    #[arg(skip)]
+    pub flagged: Vec<String>,
+}
+
+/// What is logged, and how.
+#[derive(Args, Debug, Clone)]
+pub struct Log {
+    /// `LEVEL`, or `MODULE=LEVEL`, or several with commas: `info,core=debug,upstream=trace`.
+    #[arg(long = "log-filter", env = "MICALADDER_LOG", value_name = "FILTER", default_value = "info")]
+    pub filter: Filter,
+    /// `text`, or `json` with an object a line.
+    #[arg(long = "log-format", env = "MICALADDER_LOG_FORMAT", value_name = "FORMAT", default_value = "text")]
+    pub format: Format,
+    /// So many lines from one place in the program at once, then one a second that says how many were kept back;
+    /// 0 writes all.
+    #[arg(long = "log-burst", env = "MICALADDER_LOG_BURST", value_name = "LINES", default_value_t = 20)]
+    pub burst: u32,
+}
+
+/// Reads the command line and the environment.
+///
+/// # Errors
+///
+/// What is wrong with a flag or a variable, named, as clap puts it; also the texts of `--help` and `--version`.
+pub fn read<I: IntoIterator<Item = T>, T: Into<OsString>>(words: I) -> Result<Command, clap::Error> {
+    let mut words: Vec<OsString> = words.into_iter().map(Into::into).collect();
+    let of_line = |w: &OsString| matches!(w.to_str(), Some("-h" | "--help" | "-V" | "--version"));
+    // A bare command with nothing or with flags is `run`: so the deploy file starts it.
+    if words.get(1).is_none_or(|w| w.to_string_lossy().starts_with('-') && !of_line(w)) {
+        words.insert(1.min(words.len()), "run".into());
+    }
+    let matches = Line::command().try_get_matches_from(words)?;
+    let line = Line::from_arg_matches(&matches)?;
+    let with_flags = |mut run: Run, matches: &ArgMatches| {
+        run.flagged = ["name", "listen", "discovery"]
+            .into_iter()
+            .filter(|id| matches.value_source(id) == Some(ValueSource::CommandLine))
+            .map(str::to_string)
+            .collect();
+        Command::Run(run)
+    };
+    Ok(match line.command {
+        Word::Run(run) => with_flags(run, matches.subcommand().map_or(&matches, |s| s.1)),
+        Word::Check(files) => Command::Check(files),
+        Word::Completions { shell } => Command::Completions(shell),
+    })
+}
+
+/// Writes the completions to standard output.
+pub fn complete(shell: clap_complete::Shell) {
+    clap_complete::generate(shell, &mut Line::command(), "micaladder", &mut std::io::stdout());
+}
+
+impl Run {
+    /// What stands before a key of the configuration: a flag always, a variable only where it differs. The platform
+    /// sets the variables to what the file says; one that only repeats its key must not hold the key's old value
+    /// after a reload.
+    pub fn before(&self, id: &str, said: Option<String>, key: &str) -> Option<String> {
+        said.filter(|s| s != key || self.flagged.iter().any(|f| f == id))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,11 +54,13 @@
 
 pub mod acme;
 pub mod as2;
+pub mod check;
 pub mod client;
 pub mod clock;
 pub mod core;
 pub mod discovery;
 pub mod exchange;
+pub mod flags;
 pub mod journal;
 pub mod logger;
 pub mod notices;
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -1,29 +1,247 @@
-//! The project's logger: one line each on standard error, with Unix time, level and module.
-use log::{LevelFilter, Log, Metadata, Record};
+//! The log: lines on standard error, as text or as JSON, with the fields of the `log` macros' key-values. A place in
+//! the program that floods is held to a line a second, which says how many were kept back.
+use crate::clock;
+use crate::flags;
+use crate::interface::Nanos;
+use log::kv::{Error, Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+use std::collections::HashMap;
 use std::io::Write;
+use std::str::FromStr;
+use std::sync::{Mutex, PoisonError};
 
-struct Lines;
+const CRATE: &str = "micaladder";
+/// The modules that a filter may name; below each, any path.
+const MODULES: [&str; 18] = [
+    "acme",
+    "as2",
+    "check",
+    "client",
+    "core",
+    "discovery",
+    "exchange",
+    "flags",
+    "journal",
+    "logger",
+    "logic",
+    "notices",
+    "past",
+    "plugins",
+    "reload",
+    "settings",
+    "state",
+    "upstream",
+];
+/// From each place so many lines a second come through once its burst is used up.
+const RATE: f64 = 1.0;
 
-impl Log for Lines {
-    fn enabled(&self, metadata: &Metadata) -> bool {
-        metadata.target().starts_with("micaladder")
+/// What is logged: a level for all modules, and others for some.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Filter(Vec<(String, LevelFilter)>);
+
+/// How a line looks.
+#[derive(Clone, Copy, Debug, PartialEq, clap::ValueEnum)]
+pub enum Format {
+    /// Unix time, level, module, text, fields.
+    Text,
+    /// One object: `at` (Unix time in seconds), `level`, `module`, `text`, and `fields`.
+    Json,
+}
+
+impl FromStr for Filter {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Filter, String> {
+        let level = |word: &str| {
+            let levels = "error, warn, info, debug, trace and off";
+            word.trim().parse().map_err(|_| format!("no level {word:?}; there are {levels}"))
+        };
+        // A level alone is for all of our modules; those of other crates stay silent.
+        let mut filter = vec![(CRATE.to_string(), LevelFilter::Info)];
+        for part in text.split(',').map(str::trim).filter(|p| !p.is_empty()) {
+            match part.split_once('=') {
+                None => filter[0].1 = level(part)?,
+                Some((module, word)) => {
+                    let first = module.split("::").next().unwrap_or(module);
+                    if !MODULES.contains(&first) {
+                        return Err(format!("no module {module:?}; there are {}", MODULES.join(", ")));
+                    }
+                    filter.push((format!("{CRATE}::{module}"), level(word)?));
+                }
+            }
+        }
+        Ok(Filter(filter))
+    }
+}
+
+/// A place's allowance: a bucket of lines.
+struct Place {
+    left: f64,
+    at: Nanos,
+    kept_back: u64,
+}
+
+/// Holds each place that logs to its allowance. Places are call sites, so the table is bounded by the program's text.
+struct Limit {
+    burst: f64,
+    places: HashMap<(&'static str, u32), Place>,
+}
+
+impl Limit {
+    fn new(burst: u32) -> Limit {
+        Limit { burst: f64::from(burst), places: HashMap::new() }
+    }
+
+    /// Whether a line of this place may be written, and how many were kept back before it.
+    fn pass(&mut self, file: &'static str, line: u32, now: Nanos) -> Option<u64> {
+        if self.burst == 0.0 {
+            return Some(0);
+        }
+        let fresh = Place { left: self.burst, at: now, kept_back: 0 };
+        let place = self.places.entry((file, line)).or_insert(fresh);
+        place.left = (place.left + (now - place.at).secs() * RATE).min(self.burst);
+        place.at = now;
+        if place.left < 1.0 {
+            place.kept_back += 1;
+            return None;
+        }
+        place.left -= 1.0;
+        Some(std::mem::take(&mut place.kept_back))
+    }
+}
+
+struct Texts<'a>(&'a mut dyn Write);
+
+impl<'kvs> VisitSource<'kvs> for Texts<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        write!(self.0, " {key}={value}").map_err(Error::from)
     }
-    fn log(&self, record: &Record) {
-        if self.enabled(record.metadata()) {
-            let at = crate::clock::now().secs();
-            let place = record.target().trim_start_matches("micaladder::");
-            // A log that cannot be written is no reason to stop.
-            let _ = writeln!(std::io::stderr(), "{at:.3} {} {place}: {}", record.level(), record.args());
+}
+
+struct Fields(serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let number = value.to_u64().map(serde_json::Value::from);
+        let value =
+            number.or_else(|| value.to_f64().map(Into::into)).unwrap_or_else(|| value.to_string().into());
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+fn write(
+    out: &mut dyn Write, format: Format, record: &Record, now: Nanos, kept_back: u64,
+) -> std::io::Result<()> {
+    let module = record.target().strip_prefix(CRATE).unwrap_or(record.target()).trim_start_matches("::");
+    let module = if module.is_empty() { "main" } else { module };
+    match format {
+        Format::Text => {
+            write!(out, "{:.3} {} {module}: {}", now.secs(), record.level(), record.args())?;
+            record.key_values().visit(&mut Texts(out)).map_err(std::io::Error::other)?;
+            if kept_back > 0 {
+                write!(out, " kept_back={kept_back}")?;
+            }
+            writeln!(out)
+        }
+        Format::Json => {
+            let mut fields = Fields(serde_json::Map::new());
+            record.key_values().visit(&mut fields).map_err(std::io::Error::other)?;
+            if kept_back > 0 {
+                fields.0.insert("kept_back".into(), kept_back.into());
+            }
+            let (level, text) = (record.level().as_str(), record.args().to_string());
+            let at = now.0 as f64 / 1e9;
+            let line = serde_json::json!({
+                "at": at, "level": level, "module": module, "text": text, "fields": fields.0,
+            });
+            writeln!(out, "{line}")
+        }
+    }
+}
+
+/// Sets the log up, once; a second call changes nothing.
+pub fn install(log: &flags::Log) {
+    let limit = Mutex::new(Limit::new(log.burst));
+    let format = log.format;
+    let mut builder = env_logger::Builder::new();
+    builder.target(env_logger::Target::Stderr).format(move |out, record| {
+        let now = clock::now();
+        let place = (record.file_static().unwrap_or(""), record.line().unwrap_or(0));
+        let passed = limit.lock().unwrap_or_else(PoisonError::into_inner).pass(place.0, place.1, now);
+        match passed {
+            Some(kept_back) => write(out, format, record, now, kept_back),
+            None => Ok(()),
         }
+    });
+    for (module, level) in &log.filter.0 {
+        builder.filter_module(module, *level);
     }
-    fn flush(&self) {}
+    // A second start in the same process keeps the first log.
+    let _ = builder.try_init();
 }
 
-/// Sets the logger up. `MICALADDER_LOG` may name a level; `info` is the usual one.
-pub fn install() {
-    let level =
-        std::env::var("MICALADDER_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(LevelFilter::Info);
-    if log::set_logger(&Lines).is_ok() {
-        log::set_max_level(level);
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[test]
+    fn a_flood_costs_a_line_a_second_and_says_what_was_kept_back() {
+        let mut limit = Limit::new(20);
+        let at = |n: u64| Nanos(n * 1_000_000);
+        let passed: Vec<u64> = (0..10_000).filter_map(|n| limit.pass("a.rs", 1, at(n))).collect();
+        assert_eq!(passed.len(), 20 + 9, "twenty at once and one a second after that");
+        let kept_back: u64 = passed.iter().sum();
+        assert_eq!(limit.pass("b.rs", 1, at(10_000)), Some(0), "another place has its own allowance");
+        let rest = limit.pass("a.rs", 1, at(11_000));
+        assert_eq!(rest.map(|r| r + kept_back + 29), Some(10_000), "each line is written or counted");
+        assert!((0..10_000).all(|n| Limit::new(0).pass("a.rs", 1, at(n)) == Some(0)));
+    }
+
+    #[rstest]
+    #[case("", Ok(vec![("micaladder", LevelFilter::Info)]))]
+    #[case("debug", Ok(vec![("micaladder", LevelFilter::Debug)]))]
+    #[case("warn,core::door=trace", Ok(vec![("micaladder", LevelFilter::Warn), ("micaladder::core::door", LevelFilter::Trace)]))]
+    #[case("loud", Err("no level \"loud\""))]
+    #[case("kore=debug", Err("no module \"kore\""))]
+    fn a_filter_names_a_level_or_modules(
+        #[case] text: &str, #[case] wanted: Result<Vec<(&str, LevelFilter)>, &str>,
+    ) {
+        match (text.parse::<Filter>(), wanted) {
+            (Ok(filter), Ok(wanted)) => {
+                let wanted = wanted.into_iter().map(|(m, l)| (m.to_string(), l)).collect();
+                assert_eq!(filter, Filter(wanted));
+            }
+            (Err(fault), Err(wanted)) => assert!(fault.starts_with(wanted), "{fault}"),
+            (got, wanted) => panic!("{got:?}, not {wanted:?}"),
+        }
+    }
+
+    #[test]
+    fn each_module_of_the_crate_can_be_named() {
+        let here = concat!(env!("CARGO_MANIFEST_DIR"), "/src");
+        for entry in std::fs::read_dir(here).expect("the sources").flatten() {
+            let name = entry.file_name().to_string_lossy().trim_end_matches(".rs").to_string();
+            let silent = ["bin", "clock", "interface", "lib", "main", "request"];
+            assert!(MODULES.contains(&name.as_str()) || silent.contains(&name.as_str()), "{name}");
+        }
+    }
+
+    #[rstest]
+    #[case(Format::Text, "12.500 WARN core: slow \"one\" dest=7 host=s-1 kept_back=3\n")]
+    #[case(Format::Json, "{\"at\":12.5,\"fields\":{\"dest\":7,\"host\":\"s-1\",\"kept_back\":3},\"level\":\"WARN\",\"module\":\"core\",\"text\":\"slow \\\"one\\\"\"}\n")]
+    fn a_line_has_its_fields(#[case] format: Format, #[case] wanted: &str) {
+        let fields: [(&str, Value); 2] = [("dest", Value::from(7)), ("host", Value::from("s-1"))];
+        let mut out = Vec::new();
+        let args = format_args!("slow \"one\"");
+        let record = Record::builder()
+            .args(args)
+            .level(log::Level::Warn)
+            .target("micaladder::core")
+            .key_values(&fields)
+            .build();
+        write(&mut out, format, &record, Nanos(12_500_000_000), 3).expect("written");
+        assert_eq!(String::from_utf8_lossy(&out), wanted);
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,9 @@
 //! The daemon: wires its parts together and sees them through start and stop.
 #![forbid(unsafe_code)]
+use micaladder::flags::{self, Command, Run};
 use micaladder::{
-    acme, as2, client, clock, core, discovery, exchange, journal, logger, notices, plugins, reload, settings,
-    upstream,
+    acme, as2, check, client, clock, core, discovery, exchange, journal, logger, notices, plugins, reload,
+    settings, upstream,
 };
 use std::error::Error;
 use std::process::ExitCode;
@@ -10,9 +11,38 @@
 use tokio::signal::unix::{signal, SignalKind};
 
 fn main() -> ExitCode {
-    logger::install();
+    let command = match flags::read(std::env::args_os()) {
+        Ok(command) => command,
+        Err(said) => {
+            // Also the texts that were asked for; a pipe that is closed is no reason to fail.
+            let _ = said.print();
+            return ExitCode::from(said.exit_code() as u8);
+        }
+    };
+    match command {
+        Command::Run(run) => start(&run),
+        Command::Check(files) => said(&check::all(&files), &files),
+        Command::Completions(shell) => {
+            flags::complete(shell);
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+/// Says what is wrong, a line a fault.
+fn said(faults: &[check::Fault], files: &flags::Files) -> ExitCode {
+    faults.iter().for_each(|f| eprintln!("{f}"));
+    if faults.is_empty() {
+        println!("{}: good", files.config.display());
+        return ExitCode::SUCCESS;
+    }
+    ExitCode::FAILURE
+}
+
+fn start(settings: &Run) -> ExitCode {
+    logger::install(&settings.log);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.map_err(Into::into).and_then(|r| r.block_on(run())) {
+    match runtime.map_err(Into::into).and_then(|r| r.block_on(run(settings))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             log::error!("cannot go on: {fault}");
@@ -21,15 +51,15 @@
     }
 }
 
-async fn run() -> Result<(), Box<dyn Error>> {
-    let config = settings::Config::from_env()?;
+async fn run(said: &Run) -> Result<(), Box<dyn Error>> {
+    let config = settings::Config::read(said)?;
     let mut terminate = signal(SignalKind::terminate())?;
     // Before anything is ready: without a handler, a SIGHUP ends the process.
     let hangup = signal(SignalKind::hangup())?;
     let journal = journal::Journal::open(&config.state, config.disk)?;
-    let book = as2::book()?.map(Arc::new);
+    let book = as2::book(&said.files.as2)?.map(Arc::new);
     let standing = book.as_ref().map(|b| b.members()).unwrap_or_default();
-    let plugins = plugins::Plugins::load();
+    let plugins = plugins::Plugins::load(&said.files.plugins);
     let core = core::Core::new(&config.site, config.seed, standing, plugins, journal, clock::now());
     let (exchange, exchange::Works { tries, notices, words }) = exchange::Exchange::new(core);
     exchange.regroup(true, discovery::members(&config.site, &config.known));
--- a/src/plugins.rs
+++ b/src/plugins.rs
@@ -1,9 +1,11 @@
 //! Plug-ins: scripts (rhai) that see each request context and each outcome. `docs/plugins.md` tells how.
+use crate::check::Fault;
 use crate::request::{Outlook, RequestContext};
 use rhai::{CallFnOptions, Dynamic, Engine, Map, Scope, AST};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
-const FOLDER: &str = "deploy/plugins";
+/// Where the scripts lie, unless another folder is named.
+pub const FOLDER: &str = "deploy/plugins";
 /// What one call of a script may use. A call takes well under a millisecond at the most.
 const STEPS_MOST: u64 = 10_000;
 const DEPTH_MOST: usize = 16;
@@ -29,9 +31,8 @@
 }
 
 impl Plugins {
-    /// Reads the scripts of the folder, if there is one. One that cannot be read is passed over.
-    pub fn load() -> Plugins {
-        let folder = std::env::var("MICALADDER_PLUGINS").unwrap_or_else(|_| FOLDER.to_string());
+    /// No scripts.
+    pub fn none() -> Plugins {
         let mut engine = Engine::new();
         engine
             .set_max_operations(STEPS_MOST)
@@ -43,11 +44,13 @@
             .set_max_map_size(ITEMS_MOST)
             .on_print(|text| log::info!("script: {text:.200}"))
             .on_debug(|text, _, _| log::debug!("script: {text:.200}"));
-        let mut plugins = Plugins { engine, scripts: Vec::new() };
-        let files = std::fs::read_dir(&folder).into_iter().flatten().flatten().map(|f| f.path());
-        let mut files: Vec<_> = files.filter(|p| p.extension().is_some_and(|e| e == "rhai")).collect();
-        files.sort();
-        files.iter().for_each(|f| plugins.add(f));
+        Plugins { engine, scripts: Vec::new() }
+    }
+
+    /// Reads the scripts of the folder, if there is one. One that cannot be read is passed over.
+    pub fn load(folder: &Path) -> Plugins {
+        let mut plugins = Plugins::none();
+        files(folder).unwrap_or_default().iter().for_each(|f| plugins.add(f));
         plugins
     }
 
@@ -95,6 +98,29 @@
     }
 }
 
+/// All that is wrong with the scripts of the folder; nothing where there is none.
+pub fn check(folder: &Path) -> Vec<Fault> {
+    let files = match files(folder) {
+        Err(e) if e.kind() != std::io::ErrorKind::NotFound => {
+            return vec![Fault { file: folder.into(), key: String::new(), what: e.to_string() }];
+        }
+        files => files.unwrap_or_default(),
+    };
+    let engine = Plugins::none().engine;
+    let fault = |file: PathBuf| {
+        let what = engine.compile_file(file.clone()).err()?.to_string();
+        Some(Fault { file, key: String::new(), what })
+    };
+    files.into_iter().filter_map(fault).collect()
+}
+
+fn files(folder: &Path) -> std::io::Result<Vec<PathBuf>> {
+    let files = std::fs::read_dir(folder)?.flatten().map(|f| f.path());
+    let mut files: Vec<_> = files.filter(|p| p.extension().is_some_and(|e| e == "rhai")).collect();
+    files.sort();
+    Ok(files)
+}
+
 fn facts(context: &RequestContext, outlook: Outlook) -> Map {
     let tags: Vec<Dynamic> = context.tags.iter().map(|t| t.clone().into()).collect();
     [
--- /dev/null
+++ b/src/settings/check.rs
@@ -0,0 +1,125 @@
+//! What is wrong in a configuration: keys that nobody knows, words that mean nothing, figures that cannot be.
+use super::{Conf, File, GroupUpdate, Site};
+use crate::check::{Fault, Faults};
+use hyper::http::uri::Authority;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// What the platform's file holds beside what this program uses.
+const UNUSED: [&str; 35] = [
+    "known.targets[].boot_ms",
+    "limits.cores",
+    "limits.memory_mb",
+    "settings.classes[].aimStretch",
+    "settings.classes[].streamed",
+    "settings.clients",
+    "settings.family",
+    "settings.familyInfo.notes",
+    "settings.familyInfo.refusalCost",
+    "settings.familyInfo.reportX0",
+    "settings.familyInfo.reportX1",
+    "settings.fees.connection",
+    "settings.fees.fleet",
+    "settings.fees.lateFail",
+    "settings.fees.moves",
+    "settings.fees.origin",
+    "settings.fees.peer",
+    "settings.fees.probe",
+    "settings.fees.registryMode",
+    "settings.fees.waste",
+    "settings.goal",
+    "settings.layers",
+    "settings.limits.cpuUsPerRequest",
+    "settings.limits.cpuUsPerS",
+    "settings.limits.maxStreams",
+    "settings.limits.mayProbe",
+    "settings.limits.mayTell",
+    "settings.limits.secondCopies",
+    "settings.me",
+    "settings.reporting.names",
+    "settings.rules.answerSlackNs",
+    "settings.rules.stopSendingWithinNs",
+    "settings.tenants[].share",
+    "settings.tier",
+    "settings.valueBy",
+];
+
+/// All that is wrong in the file, and the settings where they can be read.
+pub fn file(path: &Path) -> (Vec<Fault>, Option<Site>) {
+    let mut faults = Faults::of(path);
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(e) => {
+            faults.add("", e);
+            return (faults.found, None);
+        }
+    };
+    let Some(file) = faults.json::<File>(&text, &UNUSED) else { return (faults.found, None) };
+    whole(&file, &mut faults);
+    settings(&file.settings, &mut faults);
+    group(&file.known, &file.settings, &mut faults);
+    (faults.found, Some(super::site(file.settings)))
+}
+
+fn whole(f: &File, faults: &mut Faults) {
+    faults.unless(!f.name.is_empty(), "name", "is empty");
+    if f.listen.parse::<SocketAddr>().is_err() {
+        faults.add("listen", format!("not a socket address: {:?}", f.listen));
+    }
+    if f.discovery.parse::<Authority>().ok().and_then(|a| a.port_u16()).is_none() {
+        faults.add("discovery", format!("no address: {:?}", f.discovery));
+    }
+    if u64::from_str_radix(&f.seed, 16).is_err() {
+        faults.add("seed", format!("not up to 16 hexadecimal digits: {:?}", f.seed));
+    }
+    // Less holds not even one message of 64 KiB beside its reserve.
+    faults.unless(f.limits.disk_mb >= 0.2, "limits.disk_mb", "holds no message; 0.2 or more");
+    faults.unless(f.limits.sockets >= 16, "limits.sockets", "leaves none for clients; 16 or more");
+}
+
+fn settings(c: &Conf, faults: &mut Faults) {
+    faults.unless(!c.classes.is_empty(), "settings.classes", "is empty");
+    faults.twice(c.classes.iter().map(|c| c.name.as_str()), |i| format!("settings.classes[{i}].name"));
+    for (i, class) in c.classes.iter().enumerate() {
+        let key = |k: &str| format!("settings.classes[{i}].{k}");
+        faults.one_of(Some(&class.effect), &["repeatable", "by_key", "once"], key("effect"));
+        faults.one_of(class.group.as_deref(), &["all", "zone", "cell"], key("group"));
+        faults.unless(class.deadline_ns > 0, key("deadlineNs"), "is 0");
+        faults.unless(class.aim_ns <= class.deadline_ns, key("aimNs"), "is beyond deadlineNs");
+        faults.unless((0.0..=1.0).contains(&class.late_share), key("lateShare"), "is not from 0 to 1");
+        faults.unless(class.points >= 0.0, key("points"), "is below 0");
+        let window = class.effect != "by_key" || class.window_ns.is_some();
+        faults.unless(window, key("windowNs"), "is missing; a class by_key has one");
+    }
+    faults.twice(c.tenants.iter().map(|t| t.name.as_str()), |i| format!("settings.tenants[{i}].name"));
+    for (i, tenant) in c.tenants.iter().enumerate() {
+        faults.unless(tenant.quota_rps >= 0.0, format!("settings.tenants[{i}].quotaRps"), "is below 0");
+    }
+    faults.one_of(c.family_info.fades.as_deref(), &["line", "halves"], "settings.familyInfo.fades");
+    faults.unless(c.family_info.workers > 0, "settings.familyInfo.workers", "is 0; nothing would be sent");
+    faults.unless(c.limits.open_cap > 0, "settings.limits.openCap", "is 0; nothing would be taken on");
+    faults.unless(c.limits.most_tries > 0, "settings.limits.mostTries", "is 0; nothing would be sent");
+    faults.unless(c.n_instances > 0, "settings.nInstances", "is 0");
+    faults.one_of(c.registry_mode.as_deref(), &["pushed", "on_request"], "settings.registryMode");
+    let source = c.reporting.as_ref().map(|r| r.source.as_str());
+    faults.one_of(source, &["inline", "on_probe", "off"], "settings.reporting.source");
+    faults.one_of(c.weight_kind.as_deref(), &["nominal", "rough", "off"], "settings.weightKind");
+    let zone = c.my_zone.unwrap_or(0) as usize;
+    faults.unless(zone < c.localities.len().max(1), "settings.myZone", "is no place in localities");
+    faults.unless(c.rules.cold_from > 0.0, "settings.rules.coldFrom", "is not above 0");
+    faults.unless(c.rules.fall_multiple > 0.0, "settings.rules.fallMultiple", "is not above 0");
+}
+
+fn group(known: &GroupUpdate, c: &Conf, faults: &mut Faults) {
+    faults.twice(known.targets.iter().map(|t| t.uid.as_str()), |i| format!("known.targets[{i}].uid"));
+    for (i, t) in known.targets.iter().enumerate() {
+        let key = |k: &str| format!("known.targets[{i}].{k}");
+        let address = t.endpoint.parse::<Authority>().ok().and_then(|a| a.port_u16()).is_some();
+        faults.unless(address, key("endpoint"), format!("no address: {:?}", t.endpoint));
+        let known = |names: &[String], name: &Option<String>| name.as_ref().is_none_or(|n| names.contains(n));
+        faults.unless(known(&c.localities, &t.az), key("az"), "is not in settings.localities");
+        faults.unless(known(&c.flavors, &t.model), key("model"), "is not in settings.flavors");
+        faults.one_of(Some(&t.state), &["Ready", "Terminating", "Gone"], key("state"));
+        faults.unless(t.capacity_hint.is_none_or(|c| c >= 0.0), key("capacity_hint"), "is below 0");
+    }
+}
--- a/src/settings.rs
+++ b/src/settings/mod.rs
@@ -1,10 +1,13 @@
 //! The configuration and the settings in it: read at the start and on SIGHUP, into what the program uses.
+pub mod check;
+
+use crate::flags::Run;
 use crate::{Class, Effect, Fade, Group, Kind, Nanos, Settings, Weights};
 use hyper::http::uri::Authority;
 use miniserde::{json, Deserialize};
 use std::error::Error;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 /// What the forwarder is told at its start.
@@ -21,13 +24,13 @@
     pub seed: u64,
     pub known: GroupUpdate,
     pub site: Arc<Site>,
-    path: String,
-    variables: Variables,
+    path: PathBuf,
+    before: Before,
 }
 
-/// Variables that stand before keys of the file.
+/// What the command line and the environment put before keys of the file.
 #[derive(Clone)]
-struct Variables {
+struct Before {
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
@@ -45,7 +48,7 @@
 }
 
 /// Discovery's word on the upstream group: all of it, or what changed.
-#[derive(Deserialize, Clone)]
+#[derive(Deserialize, serde::Deserialize, Clone)]
 pub struct GroupUpdate {
     pub rev: u64,
     pub all: bool,
@@ -53,7 +56,7 @@
 }
 
 /// One endpoint as discovery lists it.
-#[derive(Deserialize, Clone)]
+#[derive(Deserialize, serde::Deserialize, Clone)]
 pub struct Target {
     pub uid: String,
     pub endpoint: String,
@@ -64,7 +67,7 @@
     pub capacity_hint: Option<f64>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, serde::Deserialize)]
 struct File {
     name: String,
     listen: String,
@@ -75,13 +78,13 @@
     settings: Conf,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, serde::Deserialize)]
 struct Limits {
     disk_mb: f64,
     sockets: u32,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, serde::Deserialize)]
 struct Conf {
     classes: Vec<ConfClass>,
     #[serde(rename = "familyInfo")]
@@ -107,7 +110,7 @@
     weight_kind: Option<String>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, serde::Deserialize)]
 struct ConfClass {
     name: String,
     #[serde(rename = "aimNs")]
@@ -125,7 +128,7 @@
     window_ns: Option<u64>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, serde::Deserialize)]
 struct Info {
     fades: Option<String>,
     #[serde(rename = "kindApart")]
@@ -137,14 +140,14 @@
     workers: u32,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, serde::Deserialize)]
 struct Fees {
     #[serde(rename = "crossZone")]
     cross_zone: f64,
     handshake: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, serde::Deserialize)]
 struct ConfLimits {
     #[serde(rename = "connIdleNs")]
     conn_idle_ns: u64,
@@ -162,12 +165,12 @@
     retry_after: bool,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, serde::Deserialize)]
 struct Reporting {
     source: String,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, serde::Deserialize)]
 struct Rules {
     #[serde(rename = "coldFrom")]
     cold_from: f64,
@@ -183,7 +186,7 @@
     tip_after_ns: u64,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, serde::Deserialize)]
 struct Tenant {
     name: String,
     #[serde(rename = "quotaRps")]
@@ -203,30 +206,26 @@
         differs.into_iter().filter(|d| d.1).map(|d| d.0).collect()
     }
 
-    /// Reads the file that the environment names; the environment's own words come first.
-    pub fn from_env() -> Result<Config, Box<dyn Error>> {
-        let var = |name: &str| std::env::var(name).ok();
-        let path = var("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
-        let state = var("RELAY_STATE").ok_or("RELAY_STATE is not set")?.into();
+    /// Reads the file that the command line names; what is said there comes first.
+    pub fn read(run: &Run) -> Result<Config, Box<dyn Error>> {
+        let path = run.files.config.clone();
         let file = read(&path)?;
-        // The platform sets the variables to what the file says. One that only repeats its key does not stand
-        // before it: after a reload the key's new value would never count.
-        let before = |name: &str, key: &String| var(name).filter(|v| v != key);
-        let variables = Variables {
-            name: before("RELAY_NAME", &file.name),
-            listen: before("RELAY_LISTEN", &file.listen),
-            discovery: before("RELAY_DISCOVERY", &file.discovery),
+        let listen = run.listen.map(|l| l.to_string());
+        let before = Before {
+            name: run.before("name", run.name.clone(), &file.name),
+            listen: run.before("listen", listen, &file.listen),
+            discovery: run.before("discovery", run.discovery.clone(), &file.discovery),
         };
-        Config::new(path, state, file, variables)
+        Config::new(path, run.state.clone(), file, before)
     }
 
-    /// The same file read again; variables that stood before its keys still do.
+    /// The same file read again; what stood before its keys still does.
     pub fn again(&self) -> Result<Config, Box<dyn Error>> {
-        Config::new(self.path.clone(), self.state.clone(), read(&self.path)?, self.variables.clone())
+        Config::new(self.path.clone(), self.state.clone(), read(&self.path)?, self.before.clone())
     }
 
-    fn new(path: String, state: PathBuf, file: File, variables: Variables) -> Result<Config, Box<dyn Error>> {
-        let before = variables.clone();
+    fn new(path: PathBuf, state: PathBuf, file: File, before: Before) -> Result<Config, Box<dyn Error>> {
+        let kept = before.clone();
         let listen = before.listen.unwrap_or(file.listen);
         let discovery = before.discovery.unwrap_or(file.discovery);
         // Found here, and not by the first watch or notice that goes there: a reload must keep what works.
@@ -244,14 +243,14 @@
             known: file.known,
             site: Arc::new(site(file.settings)),
             path,
-            variables,
+            before: kept,
         })
     }
 }
 
-fn read(path: &str) -> Result<File, Box<dyn Error>> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
-    json::from_str(&text).map_err(|_| format!("{path}: not a configuration").into())
+fn read(path: &Path) -> Result<File, Box<dyn Error>> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    json::from_str(&text).map_err(|_| crate::check::why::<File>(path, &text).into())
 }
 
 fn class(c: &ConfClass) -> Class {
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -102,6 +102,7 @@
         }
     };
     let ending = tokio::time::timeout(limit, call).await.unwrap_or(Outcome::Timeout.into());
-    log::debug!("try {} of {}: {:?}", one.attempt, one.context.name, ending.outcome);
+    let (message, dest) = (&one.context.name, one.context.dest);
+    log::debug!(message, outcome:? = ending.outcome, "try" = one.attempt, dest; "try ended");
     exchange.try_ended(one.id, one.attempt, ending.outcome, ending.over);
 }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -38,14 +38,14 @@
     let (disco, daemon) = start(&endpoint);
     let begun = Instant::now();
     assert_eq!(daemon.hand_in("payout", "g1"), 202);
-    daemon.wait_log(&format!("try 0 of g1: {outcome}"));
+    daemon.wait_log(&format!("message=g1 outcome={outcome} try=0"));
     assert!(begun.elapsed() < Duration::from_millis(700), "{:?}", begun.elapsed());
     if outcome == "Spoilt" {
         disco.wait_text(r#"{"id":"g1","status":"undeliverable"}"#);
     }
     // The next goes on another connection, and is not held back.
     assert_eq!(daemon.hand_in("payout", "g2"), 202);
-    daemon.wait_log("try 0 of g2: Ok");
+    daemon.wait_log("message=g2 outcome=Ok try=0");
     assert_eq!(endpoint.heard().len(), 2);
     assert_eq!(disco.heard().iter().any(|h| h.text().contains("g1")), outcome == "Spoilt");
 }
@@ -57,10 +57,10 @@
     let (_disco, daemon) = start(&endpoint);
     for n in 0..9 {
         assert_eq!(daemon.hand_in("payout", &format!("u{n}")), 202);
-        daemon.wait_log(&format!("try 0 of u{n}: Spoilt"));
+        daemon.wait_log(&format!("message=u{n} outcome=Spoilt try=0"));
     }
     assert_eq!(daemon.hand_in("stats", "u9"), 202);
-    daemon.wait_log("try 1 of u9: Ok");
+    daemon.wait_log("message=u9 outcome=Ok try=1");
     assert!(!daemon.log().contains("breaker opened"));
 }
 
@@ -78,7 +78,7 @@
     for n in 0..200 {
         assert_eq!(daemon.hand_in("payout", &format!("b{n}")), 202);
     }
-    daemon.wait_log("of b199: Ok");
+    daemon.wait_log("message=b199 outcome=Ok");
     assert_eq!(daemon.hand_in("payout", "last"), 202);
     disco.wait_text(r#"{"id":"last","status":"undeliverable"}"#);
     assert_eq!(endpoint.heard().len(), 201);
--- a/tests/as2.rs
+++ b/tests/as2.rs
@@ -183,7 +183,7 @@
     if fault.is_some() {
         s.disco.wait_text(r#"{"id":"p1","status":"undeliverable"}"#);
     } else {
-        s.daemon.wait_log("try 0 of p1: Ok");
+        s.daemon.wait_log("message=p1 outcome=Ok try=0");
     }
     let notices = s.disco.heard().iter().filter(|h| h.text().contains("p1")).count();
     assert_eq!((s.bank.heard().len(), notices), (1, usize::from(fault.is_some())));
@@ -219,7 +219,7 @@
     assert_eq!(s.daemon.hand_in("payout", "l1"), 202);
     let sent = s.bank.wait("the payout", |all| !all.is_empty());
     assert_eq!(s.post_receipt(&sent[0]), 200);
-    s.daemon.wait_log("try 0 of l1: Ok");
+    s.daemon.wait_log("message=l1 outcome=Ok try=0");
     assert!(!s.disco.heard().iter().any(|h| h.text().contains("l1")));
 }
 
@@ -283,7 +283,7 @@
         let mic = s.keys.mic("Content-Type: text/plain\r\n\r\npay the creator");
         assert!(part.contains(&format!("Received-Content-MIC: {mic}, sha-256")), "{part}");
         assert_eq!(endpoint.wait("the payout", |all| !all.is_empty())[0].text(), "pay the creator");
-        s.daemon.wait_log(": Ok");
+        s.daemon.wait_log("outcome=Ok");
         // A repeat gets the same answer, and nothing runs again.
         assert!(s.keys.open(&s.hand_in(from, signer, "")).expect("signed").contains(said));
     }
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -117,7 +117,7 @@
     assert_eq!(daemon.hand_in("payout", "w1"), 202);
     endpoint.wait("a second call", |all| all.len() == 2);
     assert!(start.elapsed() >= Duration::from_millis(wait_ms));
-    daemon.wait_log("try 1 of w1: Ok");
+    daemon.wait_log("message=w1 outcome=Ok try=1");
     assert!(!disco.heard().iter().any(|h| h.text().contains("w1")), "delivered: no notice");
 }
 
@@ -136,7 +136,7 @@
         }
     });
     let daemon = setup(&disco, known).start();
-    daemon.wait_log("upstream group: version 5, 2 lines");
+    daemon.wait_log("upstream group: version 5 lines=2");
     for id in ["g1", "g2", "g3"] {
         assert_eq!(daemon.hand_in("stats", id), 202);
         new.wait_id(id);
@@ -173,19 +173,19 @@
         let text = String::from_utf8(message("stats", &format!("r{dest}"), "20000m", "")).expect("text");
         let text = text.replace("dest=7", &format!("dest={dest}"));
         assert_eq!(daemon.ask(text.as_bytes()).map(|h| h.status()), Some(202));
-        daemon.wait_log(&format!("try 0 of r{dest}: Ok"));
+        daemon.wait_log(&format!("message=r{dest} outcome=Ok try=0"));
     }
     assert!(daemon.held_descriptors() >= before + many.len());
     tell.send(()).expect("it listens");
-    daemon.wait_log("retired: s-0 of dest 1");
+    daemon.wait_log("retired host=s-0 dest=1");
     assert_eq!(daemon.hand_in("stats", "r21"), 202);
-    daemon.wait_log("try 0 of r21: Ok");
+    daemon.wait_log("message=r21 outcome=Ok try=0");
     let until = std::time::Instant::now() + PATIENCE;
     while daemon.held_descriptors() > before + 3 {
         assert!(std::time::Instant::now() < until, "{} descriptors", daemon.held_descriptors());
         std::thread::yield_now();
     }
-    assert_eq!(daemon.log().matches("retired:").count(), many.len());
+    assert_eq!(daemon.log().matches("retired host=").count(), many.len());
 }
 
 /// A second hand-in over a connection that crossed its answer is the same message.
@@ -340,7 +340,7 @@
     let (disco, known) = one(&endpoint);
     let mut daemon = setup(&disco, known).start();
     assert_eq!(daemon.hand_in("sync", "d1"), 202);
-    daemon.wait_log("try 0 of d1: Ok");
+    daemon.wait_log("message=d1 outcome=Ok try=0");
     assert_eq!(daemon.hand_in("sync", "d1"), 200);
     daemon.kill();
     daemon.start_again();
@@ -411,7 +411,7 @@
     daemon.wait_log("upstream group: version 1");
     let before = daemon.held_descriptors();
     (0..4).for_each(|n| assert_eq!(daemon.hand_in("stats", &format!("i{n}")), 202));
-    (0..4).for_each(|n| drop(daemon.wait_log(&format!("try 0 of i{n}: Ok"))));
+    (0..4).for_each(|n| drop(daemon.wait_log(&format!("message=i{n} outcome=Ok try=0"))));
     let until = std::time::Instant::now() + Duration::from_secs(4);
     while daemon.held_descriptors() > before + 3 {
         assert!(std::time::Instant::now() < until, "{} descriptors", daemon.held_descriptors());
@@ -444,11 +444,11 @@
         assert_eq!(daemon.hand_in("payout", &format!("c{n}")), 202);
     }
     for n in 0..60 {
-        daemon.wait_log(&format!("of c{n}: Ok"));
+        daemon.wait_log(&format!("message=c{n} outcome=Ok"));
     }
     let log = daemon.log();
     assert!(!log.contains("pace cut") && !log.contains("breaker opened"), "taken for a limit or an outage");
-    let crowded = log.matches(": Crowded").count();
+    let crowded = log.matches("outcome=Crowded").count();
     assert!((1..40).contains(&crowded), "{crowded} turned away for 60 messages");
     assert!(!disco.heard().iter().any(|h| h.first.starts_with("POST")), "each is delivered");
 }
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -4,6 +4,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -193,6 +194,7 @@
     child: Child,
     log: Arc<(Mutex<String>, Condvar)>,
     extra: Vec<(String, String)>,
+    flags: Vec<String>,
 }
 
 pub struct Setup<'a> {
@@ -202,14 +204,33 @@
     pub disk_mb: f64,
     pub sockets: u32,
     pub env: Vec<(String, String)>,
+    /// Words of the command line.
+    pub flags: Vec<String>,
 }
 
 pub fn setup(discovery: &Server, known: String) -> Setup<'_> {
-    Setup { discovery, known, open_cap: 100, disk_mb: 3.0, sockets: 1024, env: Vec::new() }
+    Setup { discovery, known, open_cap: 100, disk_mb: 3.0, sockets: 1024, env: Vec::new(), flags: Vec::new() }
 }
 
 impl Setup<'_> {
     pub fn start(self) -> Daemon {
+        let daemon = self.start_anyhow();
+        daemon.wait_log("ready:");
+        daemon
+    }
+
+    /// Without the word that it is ready, for a log that does not hold it: waits until a client is served.
+    pub fn start_silent(self) -> Daemon {
+        let daemon = self.start_anyhow();
+        let until = Instant::now() + PATIENCE;
+        while TcpStream::connect(daemon.addr).is_err() {
+            assert!(Instant::now() < until, "it does not listen");
+            thread::yield_now();
+        }
+        daemon
+    }
+
+    fn start_anyhow(self) -> Daemon {
         let name = format!("micaladder-{}-{}", std::process::id(), free_port());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(folder.join("state")).expect("a folder");
@@ -224,24 +245,33 @@
             SETTINGS.replace("OPENCAP", &self.open_cap.to_string())
         );
         std::fs::write(folder.join("config.json"), config).expect("its configuration");
-        let (child, log) = launch(&folder, &self.env);
-        let daemon = Daemon { addr, folder, discovery: self.discovery.addr, child, log, extra: self.env };
-        daemon.wait_log("ready:");
-        daemon
+        let (child, log) = launch(&folder, &self.env, &self.flags);
+        let (discovery, extra, flags) = (self.discovery.addr, self.env, self.flags);
+        Daemon { addr, folder, discovery, child, log, extra, flags }
     }
 }
 
+/// A port on which nothing listens. Not of those that the system gives to whoever connects or binds without a wish:
+/// one of these could be taken again before the program has it.
 pub fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").port()
+    const FIRST: u32 = 10_000;
+    const COUNT: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let own = std::process::id().wrapping_mul(97);
+    let port = || (FIRST + own.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % COUNT) as u16;
+    let free = |p: &u16| TcpListener::bind(("127.0.0.1", *p)).is_ok();
+    (0..COUNT).map(|_| port()).find(free).expect("a free port")
 }
 
 type Log = Arc<(Mutex<String>, Condvar)>;
 
-fn launch(folder: &std::path::Path, env: &[(String, String)]) -> (Child, Log) {
+fn launch(folder: &std::path::Path, env: &[(String, String)], flags: &[String]) -> (Child, Log) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_micaladder"))
         .env("RELAY_CONFIG", folder.join("config.json"))
         .env("RELAY_STATE", folder.join("state"))
         .env("MICALADDER_LOG", "debug")
+        .env("MICALADDER_LOG_BURST", "0")
+        .args(flags)
         .envs(env.iter().map(|(k, v)| (k, v)))
         .stderr(Stdio::piped())
         .spawn()
@@ -284,7 +314,7 @@
     }
 
     pub fn start_again(&mut self) {
-        (self.child, self.log) = launch(&self.folder, &self.extra);
+        (self.child, self.log) = launch(&self.folder, &self.extra, &self.flags);
         self.wait_log("ready:");
     }
 
