Find the message to send in an order by deadline, not by a look at all that is held

Need: filling a slot looked at every message held for its destination, a full hold at all that is held, and each event at all that may have run.

Change: `pile` keeps a destination's messages by class, tries, deadline and arrival. What is lost by waiting turns where the wait ends or the aim passes, so only the neighbours of these two points are looked at; a property test holds it to a look at all. Messages are found by hash. A criterion bench is added.

--- /dev/null
+++ b/benches/held.rs
@@ -0,0 +1,170 @@
+//! What one event costs with few and with many messages held: a message is handed in and the oldest call ends, over
+//! and over. Cost must not grow with what is held; compare the sizes of one run.
+//!
+//! `cargo bench --bench held` takes about a minute and 3 GB.
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use micaladder::core::{Answer, Core, Input, Member, Order};
+use micaladder::journal::{Disk, Journal, Tail};
+use micaladder::plugins::Plugins;
+use micaladder::request::RequestContext;
+use micaladder::settings::Site;
+use micaladder::{Class, Effect, Fade, Group, Kind, Listed, MsgId, Nanos, Outcome, Settings, Weights};
+use std::collections::VecDeque;
+use std::io;
+use std::sync::Arc;
+
+const PARTNERS: u64 = 50;
+const SLOTS: usize = 16;
+/// Virtual time from one event to the next.
+const STEP: Nanos = Nanos(100_000);
+
+/// A disk that takes everything and keeps nothing: the journal's own cost is not measured here.
+struct Nowhere;
+
+impl Disk for Nowhere {
+    fn read(&self, _: &str) -> io::Result<Option<Vec<u8>>> {
+        Ok(None)
+    }
+    fn open(&self, _: &str) -> io::Result<Box<dyn Tail>> {
+        Ok(Box::new(Nowhere))
+    }
+    fn create(&self, _: &str) -> io::Result<Box<dyn Tail>> {
+        Ok(Box::new(Nowhere))
+    }
+    fn rename(&self, _: &str, _: &str) -> io::Result<()> {
+        Ok(())
+    }
+    fn remove(&self, _: &str) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Tail for Nowhere {
+    fn append(&mut self, _: &[u8]) -> io::Result<()> {
+        Ok(())
+    }
+    fn cut(&mut self, _: u64) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn class(effect: Effect, fifo_by_key: bool) -> Class {
+    let (aim, deadline) = (Nanos::from_secs(3.0), Nanos::from_secs(1e6));
+    Class { aim, deadline, points: 1.0, late_share: 0.5, effect, fifo_by_key }
+}
+
+fn site(open_cap: usize) -> Arc<Site> {
+    let window = Nanos::from_secs(1e6);
+    let classes = vec![
+        class(Effect::Keyed { group: Group::All, window }, true),
+        class(Effect::Repeatable, false),
+        class(Effect::Once, false),
+    ];
+    let names = ["sync", "stats", "payout"].map(str::to_string).to_vec();
+    let module = Settings {
+        slots: SLOTS,
+        open_cap,
+        most_tries: 6,
+        relays: 1,
+        classes,
+        kinds: vec![Kind { apart: false, per_call: 1 }],
+        fade: Fade::Halves,
+        tenant_quota: vec![1e6],
+        weights: Weights::Off,
+        retry_after: Some(Nanos::from_secs(2.0)),
+        ..Settings::default()
+    };
+    let (tenants, zones, kinds) = (vec!["t".into()], vec!["z".into()], vec!["k".into()]);
+    let connect_timeout = Nanos::from_secs(1.0);
+    Arc::new(Site { module, classes: names, tenants, zones, kinds, connect_timeout })
+}
+
+struct World {
+    core: Core,
+    now: Nanos,
+    next: u64,
+    out: VecDeque<(MsgId, u32)>,
+    heard: Vec<MsgId>,
+}
+
+impl World {
+    fn new(held: usize, open_cap: usize) -> World {
+        let now = Nanos::from_secs(1000.0);
+        let journal = Journal::on(Box::new(Nowhere), 1 << 50).expect("it takes everything");
+        let core = Core::new(&site(open_cap), 7, Vec::new(), Plugins::none(), journal, now);
+        let mut world = World { core, now, next: 0, out: VecDeque::new(), heard: Vec::new() };
+        let member = |dest: u64| Member {
+            uid: format!("s-{dest}"),
+            address: "127.0.0.1:1".into(),
+            zone: 0,
+            kind: 0,
+            dest,
+            state: Listed::Running,
+            rate: 50.0,
+        };
+        world.moment(vec![Input::Group { whole: true, members: (0..PARTNERS).map(member).collect() }]);
+        for _ in 0..held.div_ceil(1000) {
+            let inputs = (0..1000.min(held)).map(|_| world.hand_in()).collect();
+            world.moment(inputs);
+        }
+        world
+    }
+
+    fn hand_in(&mut self) -> Input {
+        let id = self.core.next_id();
+        self.next += 1;
+        let (name, class) = (format!("m{}", self.next), (self.next % 3) as usize);
+        // Ten of a key wait behind each other.
+        let key = (class == 0).then_some(self.next / 30);
+        let repeat_key = if class == 0 { format!("key-{name}") } else { String::new() };
+        let deadline = self.now + Nanos::from_secs(9e5);
+        let context = RequestContext {
+            name,
+            origin: String::new(),
+            class,
+            tenant: 0,
+            key,
+            dest: self.next % PARTNERS,
+            deadline,
+            repeat_key,
+            body: Vec::new().into(),
+            tags: Vec::new(),
+        };
+        Input::Handed { id, context }
+    }
+
+    fn moment(&mut self, mut inputs: Vec<Input>) {
+        inputs.extend(self.heard.drain(..).map(Input::NoticeHeard));
+        self.now = self.now + STEP;
+        for order in self.core.moment(self.now, inputs) {
+            match order {
+                Order::Try(one) => self.out.push_back((one.id, one.attempt)),
+                Order::Notice(notice) => self.heard.push(notice.id),
+                Order::Answer(_, answer) => assert!(matches!(answer, Answer::Taken | Answer::Reject(_))),
+                Order::GiveUp { .. } | Order::Release(_) => {}
+            }
+        }
+    }
+
+    fn event(&mut self) {
+        let mut inputs = vec![self.hand_in()];
+        let (id, attempt) = self.out.pop_front().expect("calls are out all the time");
+        inputs.push(Input::TryEnded { id, attempt, outcome: Outcome::Ok, over: false });
+        self.moment(inputs);
+    }
+}
+
+fn held(c: &mut Criterion) {
+    for (name, spare) in [("one in, one out", 1 << 30), ("one in, one out, one shed: the hold is full", 0)] {
+        let mut group = c.benchmark_group(name);
+        group.sample_size(20);
+        for held in [100, 10_000, 1_000_000] {
+            let mut world = World::new(held, held + spare);
+            group.bench_function(BenchmarkId::from_parameter(held), |b| b.iter(|| world.event()));
+        }
+        group.finish();
+    }
+}
+
+criterion_group!(benches, held);
+criterion_main!(benches);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -39,7 +39,7 @@
 }
 
 /// A message, as the caller names it. Never used twice.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MsgId(pub u64);
 /// One endpoint address, as the caller numbers it. Carries no meaning.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 mod interface;
 #[deny(missing_docs)]
 mod logic;
+mod pile;
 mod state;
 
 pub mod acme;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,7 +2,7 @@
 //! `interface.rs`, records in `state.rs`. In the order of a round: ingest, expire, promote, pick, send, arm.
 use crate::interface::*;
 use crate::state::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 // ---- Tuned values. Symbols of the design page in brackets.
 
@@ -120,11 +120,6 @@
 // ---- Route: limit, wait, pace and outage.
 
 impl Route {
-    /// Calls a second that may go: our pace, and never more than the limit that answers tell.
-    fn rate(&self) -> Option<f64> {
-        let told = Some(self.limit).filter(|l| *l > 0.0);
-        self.pace.map(|p| told.map_or(p, |l| p.min(l))).or(told)
-    }
     fn fill(&mut self, now: Nanos) {
         while self.served.front().is_some_and(|t| (now - *t).secs() > 1.0) {
             self.served.pop_front();
@@ -133,10 +128,6 @@
             self.bucket.fill(now, rate, (rate * BURST).max(1.0));
         }
     }
-    fn next(&self, now: Nanos) -> Nanos {
-        let token = self.rate().map_or(now, |r| self.bucket.next(now, r));
-        self.wait_until.max(self.rest_until).max(token)
-    }
     fn refused(&mut self, set: &Settings, now: Nanos, sent: Nanos, wait: Option<Nanos>, luck: f64) -> bool {
         // Guards "waits are heeded": the longest told wait stands.
         self.wait_until = self.wait_until.max(wait.map_or(now, |w| now + w));
@@ -218,14 +209,6 @@
         self.allowed = (demand * share).max(RAMP_LEAST / set.relays.max(1) as f64);
         self.bucket.fill(now, self.allowed, (self.allowed * BURST).max(self.bucket.level).max(1.0));
     }
-    fn next(&self, now: Nanos) -> Option<Nanos> {
-        let token = self.bucket.next(now, self.allowed);
-        match self.breaker {
-            Breaker::Closed => Some(token).filter(|_| self.doubt),
-            Breaker::Open { next, .. } => Some(next.max(token)),
-            Breaker::Ramp { .. } => Some(token),
-        }
-    }
     fn review(&mut self, now: Nanos, set: &Settings) {
         if matches!(self.breaker, Breaker::Ramp { since } if now - since >= set.ramp) {
             self.breaker = Breaker::Closed;
@@ -244,15 +227,6 @@
     fn backlog(&self) -> f64 {
         (self.held.len() as f64 / self.rate.max(PACE_FLOOR)).clamp(1.0, BACKLOG_TOP)
     }
-    fn took(&mut self, id: MsgId, arrived: Nanos, now: Nanos) {
-        self.held.retain(|x| *x != id);
-        self.b += if self.ready == 0 { 1.0 } else { 0.0 };
-        self.ready = self.ready.saturating_sub(1);
-        self.a += 1.0;
-        self.waited += (now - arrived.max(self.open_since)).secs();
-        self.sent += 1;
-        self.last = now;
-    }
     /// ARR's gain; true if it rose. Departure: only the wait that this relay could have helped is judged; a
     /// slow destination would else miss its aim by its own latency and take the front for good.
     fn review(&mut self, now: Nanos, aim: f64) -> bool {
@@ -277,7 +251,7 @@
     random: Random,
     now: Nanos,
     act: Vec<Action>,
-    msgs: BTreeMap<MsgId, Msg>,
+    msgs: HashMap<MsgId, Msg>,
     /// By when a round must look at which: no round looks at all that is held.
     held_until: BTreeSet<(Nanos, MsgId)>,
     repeat_until: BTreeSet<(Nanos, MsgId)>,
@@ -412,12 +386,10 @@
         }
         let now = self.now;
         let (class, dest, deadline) = (m.class, m.dest, m.deadline);
-        let msg = Msg { class, key, dest, deadline, arrived: now, ready_at: now, ..Msg::default() };
+        let msg = Msg { class, key, dest, deadline, arrived: now, ..Msg::default() };
         self.msgs.insert(m.id, msg);
-        self.held_until.insert((deadline, m.id));
-        let flow = self.flow(dest);
-        flow.held.push(m.id);
-        flow.demand += DEMAND_GAIN;
+        self.hold(m.id);
+        self.flow(dest).demand += DEMAND_GAIN;
         self.active.insert(dest);
         self.open += 1;
     }
@@ -428,7 +400,9 @@
         self.accept(m);
         let Some(msg) = self.msgs.get_mut(&m.id) else { return };
         (msg.tries, msg.maybe) = (past.tries, past.maybe);
-        self.repeat_until.extend(past.maybe.map(|_| (self.now, m.id)));
+        self.hold(m.id);
+        let (now, maybe) = (self.now, past.maybe);
+        self.repeat_until.extend(maybe.map(|_| (now, m.id)));
         if past.tries >= self.set.most_tries {
             self.answer(m.id, 1.0);
         }
@@ -450,7 +424,7 @@
                 lane.free_at = lane.free_at.max(now + self.set.order_pause);
             }
         }
-        let (dest, done, spent) = (msg.dest, msg.done, msg.tries >= self.set.most_tries);
+        let (dest, key, done, spent) = (msg.dest, msg.key, msg.done, msg.tries >= self.set.most_tries);
         let over = spent || !msg.repeat_ok(&self.set.classes[msg.class], now, None);
         let left = self.calls.entry(sent.call).or_insert(1);
         *left -= 1;
@@ -469,29 +443,39 @@
             self.finish(id);
         } else {
             self.hold(id);
-            self.flow(dest).held.push(id);
             if over {
                 self.answer(id, 1.0);
             }
         }
+        self.turn(key);
     }
 
-    /// From when on a message that is not out may have to be answered.
+    /// A message is not out: its place among those of its destination, and when it may have to be answered.
     fn hold(&mut self, id: MsgId) {
-        let Some(m) = self.msgs.get(&id) else { return };
+        self.unhold(id);
+        let Some(m) = self.msgs.get_mut(&id) else { return };
         self.held_until.insert((m.deadline, id));
         if let (Some((since, _)), Effect::Keyed { window, .. }) = (m.maybe, self.set.classes[m.class].effect)
         {
-            self.repeat_until.insert((since + window.secs() * WINDOW_SHARE, id));
+            m.look_at = Some(since + window.secs() * WINDOW_SHARE);
         }
+        self.repeat_until.extend(m.look_at.map(|at| (at, id)));
+        let in_turn = m.key.and_then(|k| self.lanes.get(&k)).is_none_or(|l| l.in_turn(id));
+        self.flows.entry(m.dest).or_default().held.push(id, m.sort(), m.deadline, in_turn);
     }
 
     fn unhold(&mut self, id: MsgId) {
-        let Some(m) = self.msgs.get(&id) else { return };
+        let Some(m) = self.msgs.get_mut(&id) else { return };
         self.held_until.remove(&(m.deadline, id));
-        if m.maybe.is_some() {
-            self.repeat_until.retain(|(_, held)| *held != id);
-        }
+        m.look_at.take().map(|at| self.repeat_until.remove(&(at, id)));
+        self.flows.entry(m.dest).or_default().held.remove(id);
+    }
+
+    /// The next message of a key stands first, if none of it is on its way.
+    fn turn(&mut self, key: Option<u64>) {
+        let Some(id) = key.and_then(|k| self.lanes.get(&k)?.next()) else { return };
+        let dest = self.msgs.get(&id).map(|m| m.dest);
+        dest.and_then(|d| self.flows.get_mut(&d)).into_iter().for_each(|f| f.held.turn(id));
     }
 
     /// What an outcome says of its host and route.
@@ -617,14 +601,14 @@
         msg.done = true;
         self.open -= 1;
         if let Some(lane) = msg.key.and_then(|k| self.lanes.get_mut(&k)) {
-            lane.queue.retain(|q| *q != id);
+            lane.leave(id);
         }
-        let (dest, out) = (msg.dest, msg.out.is_some());
-        self.flow(dest).held.retain(|h| *h != id);
+        let (key, out) = (msg.key, msg.out.is_some());
         if !out {
             self.unhold(id);
             self.msgs.remove(&id);
         }
+        self.turn(key);
     }
 
     /// Final answer for a message that is given up: a refusal where it is safe, else a failure.
@@ -679,10 +663,16 @@
         let (now, margin) = (self.now, Nanos(self.set.tick.0 * 2));
         let (mut dead, mut silent) = (Vec::new(), Vec::new());
         dead.extend(self.held_until.iter().take_while(|h| h.0 <= now + margin).map(|h| h.1));
-        for (_, id) in self.repeat_until.iter().take_while(|h| h.0 <= now) {
-            let m = &self.msgs[id];
+        while let Some((_, id)) = self.repeat_until.first().copied().filter(|h| h.0 <= now) {
+            self.repeat_until.pop_first();
+            let Some(m) = self.msgs.get_mut(&id).filter(|m| m.out.is_none()) else { continue };
             let repeat = m.repeat_ok(&self.set.classes[m.class], now, None);
-            dead.extend(Some(*id).filter(|_| !repeat));
+            dead.extend(Some(id).filter(|_| !repeat));
+            // By rounding it may be a moment early.
+            if repeat && m.look_at.is_some_and(|at| at <= now) {
+                m.look_at = Some(now + Nanos(self.set.tick.0.max(1)));
+                self.repeat_until.extend(m.look_at.map(|at| (at, id)));
+            }
         }
         for id in &self.out {
             let Some(m) = self.msgs.get_mut(id) else { continue };
@@ -772,10 +762,10 @@
     fn least(&self, flow: &Flow) -> Option<(f64, MsgId, f64)> {
         let wait = flow.backlog();
         let at = self.now + wait;
-        let held = flow.held.iter().map(|id| (*id, &self.msgs[id]));
-        let may = held.filter(|(_, m)| m.refusable(&self.set.classes[m.class]));
-        let rows = may.map(|(id, m)| (m.worth(&self.set.classes[m.class], self.set.fade, at), id, wait));
-        rows.min_by(|a, b| a.0.total_cmp(&b.0))
+        // Of a sort, that with the least time left is worth least, and all may be refused or none.
+        let may = flow.held.first().filter(|p| self.msgs[&p.2].refusable(self.class(&p.2)));
+        let rows = may.map(|p| (self.worth(&p.2, at), p.1, p.2));
+        rows.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|l| (l.0, l.2, wait))
     }
 
     // ---- The send gate: every send passes here, retries and trials included.
@@ -806,7 +796,7 @@
 
     /// Whether a slot is all that it lacks.
     fn could_send(&self, flow: &Flow) -> bool {
-        let takes = |h: &&HostId| flow.held.iter().any(|id| self.msg_gate(*id, **h));
+        let takes = |h: &&HostId| flow.held.in_turn().any(|id| self.msg_gate(id, **h));
         flow.calls < self.slot_cap(flow) && flow.hosts.iter().filter(takes).any(|h| self.host_gate(*h))
     }
 
@@ -833,14 +823,11 @@
         let (Some(m), Some(h)) = (self.msgs.get(&id), self.hosts.get(&host)) else { return false };
         let class = &self.set.classes[m.class];
         let lane = m.key.and_then(|k| self.lanes.get(&k));
-        let in_turn = lane.is_none_or(|l| {
-            l.out == 0 && l.queue.front() == Some(&id) && (m.tries > 0 || self.now >= l.free_at)
-        });
+        let in_turn = lane.is_none_or(|l| l.in_turn(id) && (m.tries > 0 || self.now >= l.free_at));
         h.dest == m.dest
             && m.out.is_none()
             && !m.done
             && m.tries < self.set.most_tries
-            && m.ready_at <= self.now
             && m.deadline > self.now
             && m.repeat_ok(class, self.now, Some(h.zone))
             && in_turn
@@ -855,8 +842,8 @@
         }
         let per_call = hosts.iter().map(|h| self.per_call(*h)).max().unwrap_or(1);
         let most = self.slot_cap(flow).saturating_sub(flow.calls) * per_call;
-        let fits = |id: &&MsgId| hosts.iter().any(|h| self.msg_gate(**id, *h));
-        flow.held.iter().filter(fits).take(most).count()
+        let fits = |id: &MsgId| hosts.iter().any(|h| self.msg_gate(*id, *h));
+        flow.held.in_turn().filter(fits).take(most).count()
     }
 
     fn per_call(&self, host: HostId) -> usize {
@@ -967,12 +954,12 @@
     fn urgent(&self, flow: &Flow, host: HostId) -> Option<(f64, MsgId)> {
         let soon = self.now + self.hosts.get(&host).map_or(0.0, |h| h.mean);
         let later = soon + flow.backlog();
-        let fit = flow.held.iter().filter(|id| self.msg_gate(**id, host));
-        let loss = |id: &MsgId| {
-            let (m, class) = (&self.msgs[id], self.class(id));
-            (m.worth(class, self.set.fade, soon) - m.worth(class, self.set.fade, later), *id)
-        };
-        fit.map(loss).reduce(|best, next| if next.0 > best.0 { next } else { best })
+        // What is lost grows and falls with the deadline and turns where the wait ends or the aim passes.
+        let aim = |class: usize| self.set.classes[class].deadline - self.set.classes[class].aim;
+        let fit = flow.held.next_to(|c| [later, soon + aim(c)], |id| self.msg_gate(id, host));
+        let loss = fit.map(|p| (self.worth(&p.2, soon) - self.worth(&p.2, later), p.1, p.2));
+        let most = loss.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+        most.map(|l| (l.0, l.2))
     }
 
     /// Points that a send to this host is likely to cost: lateness, fees, a new connection, failure.
--- /dev/null
+++ b/src/pile.rs
@@ -0,0 +1,192 @@
+//! A destination's held messages, in order, so that nothing that a round asks of them needs a look at all of them. No
+//! decision is taken here; `logic.rs` says what a message is worth and which may go.
+//!
+//! Messages of one class lose worth alike: what is left of one depends on its deadline alone. So a question for the
+//! one that is worth least, or that loses most by waiting, is a question for neighbours of a few points in time.
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// What messages that are treated alike have in common: their class, where their first attempt that may have run went,
+/// if there was one, and how often they were tried: among those the first to come has the least time left, mostly.
+pub(crate) type Sort = (usize, Option<usize>, u32);
+
+/// By when it has to be delivered, when it came here, and which it is.
+pub(crate) type Place = (Nanos, u64, MsgId);
+
+/// Messages of a sort, by deadline and by when they came here: of those that are worth the same the first goes first.
+#[derive(Default)]
+struct Row {
+    by_deadline: BTreeSet<Place>,
+    by_arrival: BTreeMap<u64, Place>,
+}
+
+impl Row {
+    fn insert(&mut self, place: Place) {
+        self.by_deadline.insert(place);
+        self.by_arrival.insert(place.1, place);
+    }
+    fn remove(&mut self, place: &Place) {
+        self.by_deadline.remove(place);
+        self.by_arrival.remove(&place.1);
+    }
+}
+
+#[derive(Default)]
+pub(crate) struct Pile {
+    places: HashMap<u64, (Sort, Place)>,
+    all: BTreeMap<Sort, Row>,
+    /// Those that no earlier message of their key holds up.
+    in_turn: BTreeMap<Sort, Row>,
+    next: u64,
+}
+
+impl Pile {
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Adds one that is not there.
+    pub fn push(&mut self, id: MsgId, sort: Sort, deadline: Nanos, in_turn: bool) {
+        self.next += 1;
+        let place = (deadline, self.next, id);
+        self.places.insert(id.0, (sort, place));
+        self.all.entry(sort).or_default().insert(place);
+        if in_turn {
+            self.turn(id);
+        }
+    }
+
+    /// No earlier message holds it up any more; nothing if it is not here.
+    pub fn turn(&mut self, id: MsgId) {
+        if let Some((sort, place)) = self.places.get(&id.0) {
+            self.in_turn.entry(*sort).or_default().insert(*place);
+        }
+    }
+
+    /// Takes one out; nothing if it is not here.
+    pub fn remove(&mut self, id: MsgId) {
+        let Some((sort, place)) = self.places.remove(&id.0) else { return };
+        for rows in [&mut self.all, &mut self.in_turn] {
+            let Some(row) = rows.get_mut(&sort) else { continue };
+            row.remove(&place);
+            if row.by_deadline.is_empty() {
+                rows.remove(&sort);
+            }
+        }
+    }
+
+    /// Of each sort the first to have its time up, and the first that came.
+    pub fn first(&self) -> impl Iterator<Item = Place> + '_ {
+        let of = |row: &Row| [row.by_deadline.first().copied(), row.by_arrival.values().next().copied()];
+        self.all.values().flat_map(of).flatten()
+    }
+
+    /// Those in turn, sort by sort.
+    pub fn in_turn(&self) -> impl Iterator<Item = MsgId> + '_ {
+        self.in_turn.values().flat_map(|row| row.by_arrival.values()).map(|place| place.2)
+    }
+
+    /// Of each sort those in turn that `fits` and that are next to one of the points in time, and the first that came.
+    /// `points` gives a class's.
+    pub fn next_to<'a, const N: usize>(
+        &'a self, points: impl Fn(usize) -> [Nanos; N] + 'a, fits: impl Fn(MsgId) -> bool + 'a,
+    ) -> impl Iterator<Item = Place> + 'a {
+        self.in_turn.iter().flat_map(move |(sort, row)| {
+            let fit = |place: &&Place| fits(place.2);
+            let around = points(sort.0).into_iter().flat_map(|at| {
+                let at = (at, u64::MAX, MsgId(u64::MAX));
+                let row = &row.by_deadline;
+                [row.range(..=at).rev().find(fit), row.range(at..).find(fit)]
+            });
+            let found: Vec<Place> =
+                around.chain([row.by_arrival.values().find(fit)]).flatten().copied().collect();
+            found
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::state::Msg;
+    use proptest::prelude::*;
+
+    const SECOND: u64 = 1_000_000_000;
+
+    fn classes() -> Vec<Class> {
+        let class = |aim: u64, deadline: u64, late_share| Class {
+            aim: Nanos(aim * SECOND),
+            deadline: Nanos(deadline * SECOND),
+            points: 1.0 + aim as f64,
+            late_share,
+            effect: Effect::Repeatable,
+            fifo_by_key: false,
+        };
+        vec![class(3, 24, 0.5), class(4, 16, 0.2), class(2, 20, 0.0)]
+    }
+
+    /// What is asked of a pile, and what a look at all that it holds gives.
+    #[derive(Clone, Debug)]
+    struct Held {
+        class: usize,
+        zone: Option<usize>,
+        deadline: Nanos,
+        in_turn: bool,
+        fits: bool,
+        gone: bool,
+    }
+
+    fn held() -> impl Strategy<Value = Held> {
+        let zone = prop_oneof![Just(None), Just(Some(0)), Just(Some(1))];
+        let deadline = (0..30 * 8u64).prop_map(|eighths| Nanos(100 * SECOND + eighths * SECOND / 8));
+        (0..3usize, zone, deadline, any::<bool>(), prop::bool::weighted(0.8), prop::bool::weighted(0.2))
+            .prop_map(|(class, zone, deadline, in_turn, fits, gone)| Held {
+                class,
+                zone,
+                deadline,
+                in_turn,
+                fits,
+                gone,
+            })
+    }
+
+    proptest! {
+        #[test]
+        fn the_neighbours_of_two_points_hold_the_one_that_loses_most(
+            all in prop::collection::vec(held(), 0..40), wait in 0..40u64, halves in any::<bool>(),
+        ) {
+            let (classes, fade) = (classes(), if halves { Fade::Halves } else { Fade::Line });
+            let mut pile = Pile::default();
+            for (n, h) in all.iter().enumerate() {
+                pile.push(MsgId(n as u64), (h.class, h.zone, 0), h.deadline, false);
+                if h.in_turn {
+                    pile.turn(MsgId(n as u64));
+                }
+            }
+            all.iter().enumerate().filter(|(_, h)| h.gone).for_each(|(n, _)| pile.remove(MsgId(n as u64)));
+            let left = || all.iter().enumerate().filter(|(_, h)| !h.gone);
+            prop_assert_eq!(pile.len(), left().count());
+            let worth = |h: &Held, at| {
+                let msg = Msg { class: h.class, deadline: h.deadline, ..Msg::default() };
+                msg.worth(&classes[h.class], fade, at)
+            };
+            let (soon, later) = (Nanos(101 * SECOND), Nanos(101 * SECOND) + wait as f64);
+            let loss = |n: usize| worth(&all[n], soon) - worth(&all[n], later);
+            let points = |c: usize| [later, soon + (classes[c].deadline - classes[c].aim)];
+            let near = pile.next_to(points, |id| all[id.0 as usize].fits).map(|p| loss(p.2.0 as usize));
+            let near = near.reduce(f64::max);
+            let plain = left().filter(|(_, h)| h.in_turn && h.fits).map(|(n, _)| loss(n)).reduce(f64::max);
+            prop_assert_eq!(near.is_some(), plain.is_some());
+            if let (Some(near), Some(plain)) = (near, plain) {
+                prop_assert!((near - plain).abs() < 1e-9, "{near}, and {plain} in all");
+            }
+            let least = pile.first().map(|p| worth(&all[p.2.0 as usize], later)).reduce(f64::min);
+            let plain = left().map(|(_, h)| worth(h, later)).reduce(f64::min);
+            prop_assert_eq!(least, plain);
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What the module remembers: plain records and their arithmetic. No decision is taken here; see `logic.rs`.
 use crate::interface::*;
+use crate::pile::{Pile, Sort};
 use std::collections::{BTreeMap, VecDeque};
 
 /// One attempt that is out.
@@ -24,15 +25,20 @@
     pub arrived: Nanos,
     pub deadline: Nanos,
     pub tries: u32,
-    pub ready_at: Nanos,
     /// Effect ledger: when and in which zone the first attempt that may have run was sent.
     pub maybe: Option<(Nanos, usize)>,
+    /// When a round must see whether it may still go again.
+    pub look_at: Option<Nanos>,
     pub out: Option<Out>,
     /// Its final answer is given; kept only until its attempt's outcome is known.
     pub done: bool,
 }
 
 impl Msg {
+    /// What it has in common with others that lose worth and are refused alike.
+    pub fn sort(&self) -> Sort {
+        (self.class, self.maybe.map(|m| m.1), self.tries)
+    }
     /// Worth if delivered at this time, as the settings define it.
     pub fn worth(&self, class: &Class, fade: Fade, at: Nanos) -> f64 {
         if at >= self.deadline {
@@ -66,6 +72,24 @@
     pub free_at: Nanos,
 }
 
+impl Lane {
+    /// Whether no earlier message, and none on its way, holds this one up.
+    pub fn in_turn(&self, id: MsgId) -> bool {
+        self.out == 0 && self.queue.front() == Some(&id)
+    }
+    /// Whose turn it is, if none is on its way.
+    pub fn next(&self) -> Option<MsgId> {
+        self.queue.front().copied().filter(|_| self.out == 0)
+    }
+    pub fn leave(&mut self, id: MsgId) {
+        // Most leave from the front.
+        match self.queue.front() == Some(&id) {
+            true => drop(self.queue.pop_front()),
+            false => self.queue.retain(|q| *q != id),
+        }
+    }
+}
+
 /// What a limit, a wait and a pace belong to: a destination, or one host where routes are apart.
 pub(crate) type RouteKey = (DestId, Option<HostId>);
 
@@ -107,6 +131,19 @@
     pub strikes: u32,
 }
 
+impl Route {
+    /// Calls a second that may go: our pace, and never more than the limit that answers tell.
+    pub fn rate(&self) -> Option<f64> {
+        let told = Some(self.limit).filter(|l| *l > 0.0);
+        self.pace.map(|p| told.map_or(p, |l| p.min(l))).or(told)
+    }
+    /// When a call may go next.
+    pub fn next(&self, now: Nanos) -> Nanos {
+        let token = self.rate().map_or(now, |r| self.bucket.next(now, r));
+        self.wait_until.max(self.rest_until).max(token)
+    }
+}
+
 /// Circuit breaker of a host.
 #[derive(Clone, Copy, Default, PartialEq)]
 pub(crate) enum Breaker {
@@ -160,10 +197,22 @@
     pub allowed: f64,
 }
 
+impl Host {
+    /// When a call may go next, where it is limited.
+    pub fn next(&self, now: Nanos) -> Option<Nanos> {
+        let token = self.bucket.next(now, self.allowed);
+        match self.breaker {
+            Breaker::Closed => Some(token).filter(|_| self.doubt),
+            Breaker::Open { next, .. } => Some(next.max(token)),
+            Breaker::Ramp { .. } => Some(token),
+        }
+    }
+}
+
 /// A destination's hold, share (LexAS) and turn (ARR).
 #[derive(Default)]
 pub(crate) struct Flow {
-    pub held: Vec<MsgId>,
+    pub held: Pile,
     pub hosts: Vec<HostId>,
     /// Places in the ready queue. Which message takes one is settled when a slot is there.
     pub ready: usize,
@@ -188,6 +237,19 @@
     pub last: Nanos,
 }
 
+impl Flow {
+    /// One of its messages goes out.
+    pub fn took(&mut self, id: MsgId, arrived: Nanos, now: Nanos) {
+        self.held.remove(id);
+        self.b += if self.ready == 0 { 1.0 } else { 0.0 };
+        self.ready = self.ready.saturating_sub(1);
+        self.a += 1.0;
+        self.waited += (now - arrived.max(self.open_since)).secs();
+        self.sent += 1;
+        self.last = now;
+    }
+}
+
 /// Small random number generator (xorshift), from 0 to 1.
 #[derive(Default)]
 pub(crate) struct Random(pub u64);
