--- a/src/core/group.rs
+++ b/src/core/group.rs
@@ -1,10 +1,29 @@
 //! What discovery lists: the members of the upstream group, from their first line to their last try.
-use super::orders::{Member, Order};
+use super::orders::{Member, Order, Sighting};
 use super::Core;
-use crate::interface::{DestId, Entry, Event, HostId, Listed};
+use crate::interface::{DestId, Entry, Event, Hint, HostId, Listed, Nanos};
 use std::collections::BTreeSet;
 
 impl Core {
+    /// What this forwarder has seen itself of the members.
+    pub fn known(&self, now: Nanos) -> Vec<Sighting> {
+        let sighting = |Hint { host, news, age }| {
+            let uid = self.hosts.get(&host)?.uid.clone();
+            Some(Sighting { uid, news, age })
+        };
+        self.balancer.known(now).into_iter().filter_map(sighting).collect()
+    }
+
+    /// Hands on what neighbours saw of members that are listed here; of others nothing is kept.
+    pub(super) fn hearsay(&mut self, sightings: Vec<Sighting>) {
+        for Sighting { uid, news, age } in sightings {
+            if let Some(host) = self.uids.get(&uid) {
+                log::debug!(host = uid, news:?, age_s = age.secs(); "neighbours saw");
+                self.events.push(Event::Hint(Hint { host: *host, news, age }));
+            }
+        }
+    }
+
     pub(super) fn group(&mut self, whole: bool, members: Vec<Member>) {
         let mut entries = Vec::new();
         let standing = if whole { self.standing.clone() } else { Vec::new() };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,7 +14,7 @@
 mod restart;
 mod tries;
 
-pub use orders::{Answer, Input, Member, Notice, Order, Try};
+pub use orders::{Answer, Input, Member, Notice, Order, Sighting, Try};
 
 use crate::interface::{Action, Event, HostId, MsgId, Nanos, Settings};
 use crate::journal::{End, Journal, Record};
@@ -151,6 +151,7 @@
                     self.ledger.keep(now, Record::Heard { id: id.0 }, None);
                     self.heard(id);
                 }
+                Input::Hearsay(sightings) => self.hearsay(sightings),
             }
         }
         let mut actions = Vec::new();
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -1,5 +1,5 @@
 //! What the core takes in and what it gives out: inputs, answers, tries, notices, orders. Knows no wire.
-use crate::interface::{HostId, Listed, MsgId, Nanos, Outcome};
+use crate::interface::{HostId, Listed, MsgId, Nanos, News, Outcome};
 use crate::journal::End;
 use crate::request::RequestContext;
 use std::sync::Arc;
@@ -29,6 +29,17 @@
     pub rate: f64,
 }
 
+/// What was seen of an endpoint, by this forwarder or by a neighbour.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sighting {
+    /// Discovery's name for the endpoint, the same for all forwarders. One that is replaced has another, also at the
+    /// same address.
+    pub uid: String,
+    pub news: News,
+    /// How long ago.
+    pub age: Nanos,
+}
+
 /// What happened.
 pub enum Input {
     Group {
@@ -49,6 +60,8 @@
         over: bool,
     },
     NoticeHeard(MsgId),
+    /// What neighbours saw.
+    Hearsay(Vec<Sighting>),
 }
 
 /// One attempt at delivery.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -1,7 +1,7 @@
 //! The one object in which client side and server side meet. Clients hand requests in and wait for answers;
 //! the server side takes tries and notices from it and brings their outcomes back. Neither knows the other.
 use crate::clock;
-use crate::core::{Answer, Core, Input, Member, Notice, Order, Try};
+use crate::core::{Answer, Core, Input, Member, Notice, Order, Sighting, Try};
 use crate::request::RequestContext;
 use crate::{HostId, MsgId, Outcome};
 use bytes::Bytes;
@@ -29,6 +29,7 @@
     Expect(String, oneshot::Sender<Bytes>),
     Word(String, Bytes),
     WindUp(oneshot::Sender<()>),
+    Known(oneshot::Sender<Vec<Sighting>>),
 }
 
 /// What the server side does for the exchange.
@@ -93,6 +94,18 @@
         self.say(Said::Happened(Input::NoticeHeard(id)));
     }
 
+    /// Brings what neighbours saw.
+    pub fn hearsay(&self, sightings: Vec<Sighting>) {
+        self.say(Said::Happened(Input::Hearsay(sightings)));
+    }
+
+    /// What this forwarder has seen itself of its endpoints.
+    pub async fn known(&self) -> Vec<Sighting> {
+        let (tell, known) = oneshot::channel();
+        self.say(Said::Known(tell));
+        known.await.unwrap_or_default()
+    }
+
     /// Waits for a word that comes by way of a client connection: a receipt for what a try sent.
     pub fn expect(&self, topic: &str) -> oneshot::Receiver<Bytes> {
         let (tell, word) = oneshot::channel();
@@ -207,6 +220,7 @@
                     log::warn!("receipt for {topic}, which no try of this process waits for: changes nothing")
                 }
             },
+            Said::Known(tell) => drop(tell.send(self.core.known(clock::now()))),
             Said::WindUp(tell) => *winding = Some((tokio::time::Instant::now(), tell)),
         }
     }
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -1,6 +1,7 @@
 //! The command line: what may be said there or in the environment, each with one definition. A flag goes before its
 //! variable. Holds no settings of the platform's own files; those are `settings`.
 use crate::logger::{Filter, Format};
+use crate::neighbours::trust;
 use clap::parser::ValueSource;
 use clap::{ArgMatches, Args, CommandFactory, FromArgMatches, Parser, Subcommand};
 use std::ffi::OsString;
@@ -56,6 +57,55 @@
     /// The folder of scripts; there need not be one.
     #[arg(long, env = "MICALADDER_PLUGINS", value_name = "FOLDER", default_value = crate::plugins::FOLDER)]
     pub plugins: PathBuf,
+    #[command(flatten)]
+    pub neighbours: Neighbours,
+}
+
+/// Learning from running neighbours; off without an address.
+#[derive(Args, Debug, Clone)]
+pub struct Neighbours {
+    /// Where neighbours reach this forwarder, by UDP and by TCP; without it there are none.
+    #[arg(id = "neighbours-listen", long, env = "MICALADDER_NEIGHBOURS_LISTEN", value_name = "IP:PORT",
+        requires_all = ["neighbours-certificate", "neighbours-key", "neighbours-authority"])]
+    pub listen: Option<SocketAddr>,
+    /// Some of the others, by the same kind of address.
+    #[arg(
+        id = "neighbours-seeds",
+        long,
+        env = "MICALADDER_NEIGHBOURS_SEEDS",
+        value_name = "IP:PORT,...",
+        value_delimiter = ','
+    )]
+    pub seeds: Vec<SocketAddr>,
+    /// Forwarders of other groups are not learned from.
+    #[arg(id = "neighbours-group", long, env = "MICALADDER_NEIGHBOURS_GROUP", default_value = "micaladder")]
+    pub group: String,
+    /// About how many there are.
+    #[arg(id = "neighbours-size", long, env = "MICALADDER_NEIGHBOURS_SIZE", default_value_t = 10)]
+    pub size: u32,
+    /// This forwarder's certificate, PEM.
+    #[arg(
+        id = "neighbours-certificate",
+        long,
+        env = "MICALADDER_NEIGHBOURS_CERTIFICATE",
+        value_name = "FILE"
+    )]
+    pub certificate: Option<PathBuf>,
+    /// Its key, PEM.
+    #[arg(id = "neighbours-key", long, env = "MICALADDER_NEIGHBOURS_KEY", value_name = "FILE")]
+    pub key: Option<PathBuf>,
+    /// The certificate of the authority whose certificates are believed, PEM.
+    #[arg(id = "neighbours-authority", long, env = "MICALADDER_NEIGHBOURS_AUTHORITY", value_name = "FILE")]
+    pub authority: Option<PathBuf>,
+}
+
+impl Neighbours {
+    /// The files, where all are named.
+    pub fn files(&self) -> Option<trust::Files> {
+        let (certificate, key, authority) =
+            (self.certificate.clone()?, self.key.clone()?, self.authority.clone()?);
+        Some(trust::Files { certificate, key, authority })
+    }
 }
 
 /// What a forwarder is told at its start.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -317,6 +317,8 @@
     Gone(MsgId),
     /// From now on no send can start (true), or sends can start again (false). What is out goes on.
     Paused(bool),
+    /// A neighbour's word on a host. Own experience wins over it unless that is older.
+    Hint(Hint),
     /// The timer asked for is due.
     Due,
 }
@@ -363,3 +365,54 @@
         host: Option<HostId>,
     },
 }
+
+/// What is known of a host beside what the list says: this module's own experience, or a neighbour's. Times are spans,
+/// never stamps, so that no two clocks are compared.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum News {
+    /// Calls fail there, and have for so long. `risky`: what is sent may be swallowed or half done.
+    Out {
+        /// How long the outage has lasted.
+        since: Nanos,
+        /// Whether calls are lost rather than turned away.
+        risky: bool,
+    },
+    /// It serves again after an outage, and has for so long; it may still be cold.
+    Back {
+        /// How long ago the first call was served.
+        since: Nanos,
+    },
+    /// It serves. Seconds of latency: the mean, and the mean deviation.
+    Well {
+        /// Mean latency in seconds.
+        mean: f64,
+        /// Mean deviation of the latency in seconds.
+        dev: f64,
+    },
+    /// Its route told a wait, of which so much is left.
+    Wait {
+        /// How long nothing may be sent there.
+        left: Nanos,
+    },
+    /// Its route turned calls away; one forwarder's pace there, in calls a second.
+    Pace {
+        /// Calls a second.
+        rate: f64,
+    },
+    /// It takes so many calls at once.
+    Room {
+        /// Calls at once.
+        calls: f64,
+    },
+}
+
+/// News of a host, and how long ago it was seen by the one that tells it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Hint {
+    /// The host, as this module knows it.
+    pub host: HostId,
+    /// What was seen there.
+    pub news: News,
+    /// How long ago.
+    pub age: Nanos,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 //! [`core`] and [`journal`] without a wire, the wires themselves in [`client`] and [`upstream`], which meet in
 //! [`exchange`]. `main.rs` only wires them together.
 #![forbid(unsafe_code)]
+mod hints;
 #[deny(missing_docs)]
 mod interface;
 #[deny(missing_docs)]
@@ -64,6 +65,7 @@
 pub mod flags;
 pub mod journal;
 pub mod logger;
+pub mod neighbours;
 pub mod notices;
 pub mod past;
 pub mod plugins;
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -12,7 +12,7 @@
 
 const CRATE: &str = "micaladder";
 /// The modules that a filter may name; below each, any path.
-const MODULES: [&str; 18] = [
+const MODULES: [&str; 19] = [
     "acme",
     "as2",
     "check",
@@ -24,6 +24,7 @@
     "journal",
     "logger",
     "logic",
+    "neighbours",
     "notices",
     "past",
     "plugins",
@@ -223,7 +224,7 @@
         let here = concat!(env!("CARGO_MANIFEST_DIR"), "/src");
         for entry in std::fs::read_dir(here).expect("the sources").flatten() {
             let name = entry.file_name().to_string_lossy().trim_end_matches(".rs").to_string();
-            let silent = ["bin", "clock", "interface", "lib", "main", "pile", "request"];
+            let silent = ["bin", "clock", "hints", "interface", "lib", "main", "pile", "request"];
             assert!(MODULES.contains(&name.as_str()) || silent.contains(&name.as_str()), "{name}");
         }
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -130,7 +130,8 @@
     }
     fn refused(&mut self, set: &Settings, now: Nanos, sent: Nanos, wait: Option<Nanos>, luck: f64) -> bool {
         // Guards "waits are heeded": the longest told wait stands.
-        self.wait_until = self.wait_until.max(wait.map_or(now, |w| now + w));
+        let until = wait.map_or(now, |w| now + w);
+        (self.wait_until, self.own_wait) = (self.wait_until.max(until), self.own_wait.max(until));
         if sent < self.cut_at {
             return false;
         }
@@ -148,7 +149,7 @@
         self.fill(now);
         self.pace = Some((self.served.len() as f64 * PACE_CUT).max(share));
         self.bucket.level = self.bucket.level.min(1.0);
-        (self.cut_at, self.raised_at) = (now, now);
+        (self.cut_at, self.raised_at, self.hearsay) = (now, now, false);
         true
     }
     fn succeeded(&mut self, now: Nanos) {
@@ -247,9 +248,9 @@
 /// The decision module of one relay: a state machine without I/O.
 #[derive(Default)]
 pub struct Balancer {
-    set: Settings,
-    random: Random,
-    now: Nanos,
+    pub(crate) set: Settings,
+    pub(crate) random: Random,
+    pub(crate) now: Nanos,
     act: Vec<Action>,
     msgs: HashMap<MsgId, Msg>,
     /// By when a round must look at which: no round looks at all that is held.
@@ -264,8 +265,8 @@
     flows: BTreeMap<DestId, Flow>,
     /// Those with a message held or out.
     active: BTreeSet<DestId>,
-    hosts: BTreeMap<HostId, Host>,
-    routes: BTreeMap<RouteKey, Route>,
+    pub(crate) hosts: BTreeMap<HostId, Host>,
+    pub(crate) routes: BTreeMap<RouteKey, Route>,
     /// Messages still out in each call.
     calls: BTreeMap<u64, usize>,
     next_call: u64,
@@ -342,6 +343,7 @@
             Event::Ended(e) => self.ended(e),
             Event::Gone(id) => self.finish(*id),
             Event::Paused(on) => self.paused = *on,
+            Event::Hint(hint) => self.hint(hint),
             // A timer may fire a little early, by rounding of clocks: what it was for is armed anew.
             Event::Due => self.armed = None,
         }
@@ -483,6 +485,7 @@
         let (now, luck) = (self.now, self.random.next());
         let Some(host) = self.hosts.get_mut(&sent.host) else { return };
         let route = self.routes.entry(host.route).or_default();
+        host.saw(now, e.outcome);
         host.trial = host.trial.filter(|t| *t != e.id);
         route.limit = e.report.map_or(route.limit, |r| r.limit);
         let mute =
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,8 +2,8 @@
 #![forbid(unsafe_code)]
 use micaladder::flags::{self, Command, Run};
 use micaladder::{
-    acme, as2, check, client, clock, core, discovery, exchange, journal, logger, notices, plugins, reload,
-    settings, upstream,
+    acme, as2, check, client, clock, core, discovery, exchange, journal, logger, neighbours, notices,
+    plugins, reload, settings, upstream,
 };
 use std::error::Error;
 use std::process::ExitCode;
@@ -64,6 +64,7 @@
     let (exchange, exchange::Works { tries, notices, words }) = exchange::Exchange::new(core);
     exchange.regroup(true, discovery::members(&config.site, &config.known));
     tokio::spawn(upstream::run(config.site.clone(), book.clone(), exchange.clone(), tries));
+    neighbours::start(&said.files.neighbours, &config.name, config.seed, &exchange);
     let (moves, discovery) = tokio::sync::watch::channel(config.discovery.clone());
     tokio::spawn(reload::run(config.clone(), hangup, moves));
     tokio::spawn(notices::run(discovery.clone(), exchange.clone(), notices));
--- /dev/null
+++ b/src/neighbours/frame.rs
@@ -0,0 +1,394 @@
+//! What neighbours say to each other on a connection, as bytes, without I/O.
+//!
+//! A frame is the length of what follows (4 bytes, big-endian), a version (1), a CRC-32 of the payload (4), and the
+//! payload: a kind, and the message as `postcard` (<https://postcard.jamesmunns.com/wire-format>). A frame of a later
+//! version, a kind that is not known, an item of a kind that is not known, and fields behind those that are known are
+//! passed over. All times are spans in nanoseconds.
+use crate::interface::{Nanos, News};
+use serde::{Deserialize, Serialize};
+
+/// What this program speaks.
+const VERSION: u8 = 1;
+const HEAD: usize = 9;
+/// A longer frame is no frame of a neighbour. In bytes, without its length.
+pub const MOST: usize = 64 * 1024;
+/// So many bytes of items go into a frame; the rest goes into the next.
+const ITEMS_MOST: usize = 48 * 1024;
+const NAME_MOST: usize = 256;
+
+/// What may come.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message {
+    /// The first of each side: its name, and the group of forwarders to which it belongs.
+    Hello {
+        /// As it calls itself.
+        name: String,
+        /// Groups that meet by mistake do not teach each other.
+        group: String,
+    },
+    /// From the one who learns, over and over.
+    Ping(u64),
+    /// From the one who teaches.
+    Told(Told),
+}
+
+/// Own experience of the one who teaches. Empty ones show that it lives.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Told {
+    /// The last ping that had come when this was built, and for how long it had been there.
+    pub ping: u64,
+    /// How long that ping had been there.
+    pub held: Nanos,
+    /// The last of the snapshot with which it begins.
+    pub whole: bool,
+    /// What is told.
+    pub items: Vec<Item>,
+}
+
+/// News of an endpoint that all forwarders know by the same uid; its age is that at which the frame was built.
+pub use crate::core::Sighting as Item;
+
+/// Why a peer's bytes are not read any further.
+#[derive(Debug, PartialEq, thiserror::Error)]
+pub enum Fault {
+    /// The frame's length is more than `MOST`.
+    #[error("a frame of {0} bytes")]
+    TooLong(usize),
+    /// Its payload is not what was sent.
+    #[error("a frame with a wrong checksum")]
+    Checksum,
+    /// Its payload cannot be read.
+    #[error("a frame that cannot be read")]
+    Garbled,
+}
+
+#[derive(Serialize, Deserialize)]
+struct WireHello {
+    name: String,
+    group: String,
+}
+
+#[derive(Serialize, Deserialize)]
+struct WireTold {
+    ping: u64,
+    held: u64,
+    whole: bool,
+    items: Vec<(u8, Vec<u8>)>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct WireItem {
+    uid: String,
+    age: u64,
+}
+
+const HELLO: u8 = 1;
+const PING: u8 = 2;
+const TOLD: u8 = 3;
+
+/// The message as a frame.
+pub fn encode(message: &Message) -> Vec<u8> {
+    let payload = match message {
+        Message::Hello { name, group } => {
+            kind(HELLO, &WireHello { name: name.clone(), group: group.clone() })
+        }
+        Message::Ping(n) => kind(PING, n),
+        Message::Told(t) => {
+            let items = t.items.iter().map(item).collect();
+            kind(TOLD, &WireTold { ping: t.ping, held: t.held.0, whole: t.whole, items })
+        }
+    };
+    frame(VERSION, &payload)
+}
+
+fn frame(version: u8, payload: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(payload.len() + HEAD);
+    out.extend(((payload.len() + 5) as u32).to_be_bytes());
+    out.push(version);
+    out.extend(crc32fast::hash(payload).to_be_bytes());
+    out.extend_from_slice(payload);
+    out
+}
+
+fn kind<T: Serialize>(kind: u8, message: &T) -> Vec<u8> {
+    // Writing to memory fails for no value of these types.
+    let mut out = vec![kind];
+    out.extend(postcard::to_stdvec(message).unwrap_or_default());
+    out
+}
+
+fn item(item: &Item) -> (u8, Vec<u8>) {
+    let head = WireItem { uid: item.uid.clone(), age: item.age.0 };
+    let both = |rest: Vec<u8>| {
+        let mut out = postcard::to_stdvec(&head).unwrap_or_default();
+        out.extend(rest);
+        out
+    };
+    fn rest<T: Serialize>(value: &T) -> Vec<u8> {
+        postcard::to_stdvec(value).unwrap_or_default()
+    }
+    match item.news {
+        News::Out { since, risky } => (1, both(rest(&(since.0, risky)))),
+        News::Back { since } => (2, both(rest(&since.0))),
+        News::Well { mean, dev } => (3, both(rest(&(mean, dev)))),
+        News::Wait { left } => (4, both(rest(&left.0))),
+        News::Pace { rate } => (5, both(rest(&rate))),
+        News::Room { calls } => (6, both(rest(&calls))),
+    }
+}
+
+fn read_item((kind, bytes): &(u8, Vec<u8>)) -> Result<Option<Item>, Fault> {
+    fn rest<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Fault> {
+        postcard::take_from_bytes(bytes).map(|(value, _)| value).map_err(|_| Fault::Garbled)
+    }
+    if !(1..=6).contains(kind) {
+        return Ok(None);
+    }
+    let (head, bytes): (WireItem, &[u8]) = postcard::take_from_bytes(bytes).map_err(|_| Fault::Garbled)?;
+    let news = match kind {
+        1 => {
+            let (since, risky) = rest(bytes)?;
+            News::Out { since: Nanos(since), risky }
+        }
+        2 => News::Back { since: Nanos(rest(bytes)?) },
+        3 => {
+            let (mean, dev) = rest(bytes)?;
+            News::Well { mean, dev }
+        }
+        4 => News::Wait { left: Nanos(rest(bytes)?) },
+        5 => News::Pace { rate: rest(bytes)? },
+        _ => News::Room { calls: rest(bytes)? },
+    };
+    // Guards the module's arithmetic against figures that are none.
+    let figures = match news {
+        News::Well { mean, dev } => [mean, dev],
+        News::Pace { rate } => [rate, 0.0],
+        News::Room { calls } => [calls, 0.0],
+        News::Out { .. } | News::Back { .. } | News::Wait { .. } => [0.0, 0.0],
+    };
+    if head.uid.len() > NAME_MOST || figures.iter().any(|f| !(0.0..=1e9).contains(f)) {
+        return Err(Fault::Garbled);
+    }
+    Ok(Some(Item { uid: head.uid, news, age: Nanos(head.age) }))
+}
+
+/// Items in parts that fit into a frame each; one empty part if there is none.
+pub fn parts(items: Vec<Item>) -> Vec<Vec<Item>> {
+    let (mut parts, mut size) = (vec![Vec::new()], 0);
+    for one in items {
+        let more = one.uid.len() + 48;
+        if size + more > ITEMS_MOST {
+            parts.push(Vec::new());
+            size = 0;
+        }
+        size += more;
+        if let Some(last) = parts.last_mut() {
+            last.push(one);
+        }
+    }
+    parts
+}
+
+/// Makes messages of a stream of bytes, wherever it is cut. Holds one frame at the most, and what came behind it.
+#[derive(Default)]
+pub struct Reader {
+    bytes: Vec<u8>,
+}
+
+impl Reader {
+    /// Takes in what came.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// The next message, once it is there as a whole. After a fault the stream makes no sense any more.
+    ///
+    /// # Errors
+    ///
+    /// A frame that is too long, spoilt, or no frame.
+    pub fn message(&mut self) -> Result<Option<Message>, Fault> {
+        loop {
+            let Some(head) = self.bytes.first_chunk::<4>() else { return Ok(None) };
+            let length = u32::from_be_bytes(*head) as usize;
+            // Before anything is waited for: a peer that sends gigabytes is not heard out.
+            if length > MOST {
+                return Err(Fault::TooLong(length));
+            }
+            if length < 5 {
+                return Err(Fault::Garbled);
+            }
+            if self.bytes.len() < 4 + length {
+                return Ok(None);
+            }
+            let frame: Vec<u8> = self.bytes.drain(..4 + length).collect();
+            // A later version may have another checksum and another payload: its length is all that is known.
+            if frame[4] != VERSION {
+                continue;
+            }
+            let payload = &frame[HEAD..];
+            if frame[5..HEAD] != crc32fast::hash(payload).to_be_bytes() {
+                return Err(Fault::Checksum);
+            }
+            if let Some(message) = read(payload)? {
+                return Ok(Some(message));
+            }
+        }
+    }
+}
+
+fn read(payload: &[u8]) -> Result<Option<Message>, Fault> {
+    fn take<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Fault> {
+        postcard::take_from_bytes(bytes).map(|(value, _)| value).map_err(|_| Fault::Garbled)
+    }
+    let (kind, bytes) = payload.split_first().ok_or(Fault::Garbled)?;
+    match *kind {
+        HELLO => {
+            let WireHello { name, group } = take(bytes)?;
+            match name.len().max(group.len()) > NAME_MOST {
+                true => Err(Fault::Garbled),
+                false => Ok(Some(Message::Hello { name, group })),
+            }
+        }
+        PING => Ok(Some(Message::Ping(take(bytes)?))),
+        TOLD => {
+            let WireTold { ping, held, whole, items } = take(bytes)?;
+            let items: Result<Vec<_>, Fault> = items.iter().map(read_item).collect();
+            let items = items?.into_iter().flatten().collect();
+            Ok(Some(Message::Told(Told { ping, held: Nanos(held), whole, items })))
+        }
+        _ => Ok(None),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn news() -> impl Strategy<Value = News> {
+        let span = || (0..u64::MAX / 4).prop_map(Nanos);
+        let figure = || 0.0..1e6f64;
+        prop_oneof![
+            (span(), any::<bool>()).prop_map(|(since, risky)| News::Out { since, risky }),
+            span().prop_map(|since| News::Back { since }),
+            (figure(), figure()).prop_map(|(mean, dev)| News::Well { mean, dev }),
+            span().prop_map(|left| News::Wait { left }),
+            figure().prop_map(|rate| News::Pace { rate }),
+            figure().prop_map(|calls| News::Room { calls }),
+        ]
+    }
+
+    fn message() -> impl Strategy<Value = Message> {
+        let item = ("[a-z0-9-]{0,40}", news(), any::<u64>());
+        let item = item.prop_map(|(uid, news, age)| Item { uid, news, age: Nanos(age) });
+        let told = (any::<u64>(), any::<u64>(), any::<bool>(), prop::collection::vec(item, 0..20));
+        prop_oneof![
+            ("[a-z]{0,20}", "[a-z]{0,20}").prop_map(|(name, group)| Message::Hello { name, group }),
+            any::<u64>().prop_map(Message::Ping),
+            told.prop_map(|(ping, held, whole, items)| {
+                Message::Told(Told { ping, held: Nanos(held), whole, items })
+            }),
+        ]
+    }
+
+    fn all(reader: &mut Reader) -> Result<Vec<Message>, Fault> {
+        std::iter::from_fn(|| reader.message().transpose()).collect()
+    }
+
+    proptest! {
+        #[test]
+        fn what_is_said_is_heard_wherever_the_stream_is_cut(
+            messages in prop::collection::vec(message(), 0..6), cut in 1..40usize,
+        ) {
+            let bytes: Vec<u8> = messages.iter().flat_map(encode).collect();
+            let (mut reader, mut heard) = (Reader::default(), Vec::new());
+            for part in bytes.chunks(cut) {
+                reader.push(part);
+                heard.extend(all(&mut reader).expect("no fault"));
+            }
+            prop_assert_eq!(heard, messages);
+        }
+
+        #[test]
+        fn a_flipped_bit_is_never_taken_for_news(message in message(), at in any::<prop::sample::Index>(), bit in 0..8u8) {
+            let mut bytes = encode(&message);
+            let at = at.index(bytes.len());
+            bytes[at] ^= 1 << bit;
+            let mut reader = Reader::default();
+            reader.push(&bytes);
+            // Passed over, refused, or waited for: never another message.
+            let heard = all(&mut reader).unwrap_or_default();
+            prop_assert!(heard.is_empty(), "{heard:?}");
+        }
+
+        #[test]
+        fn no_bytes_make_it_panic_or_hold_more_than_came(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+            let mut reader = Reader::default();
+            reader.push(&bytes);
+            let _ = all(&mut reader);
+            prop_assert!(reader.bytes.len() <= bytes.len());
+        }
+    }
+
+    #[test]
+    fn what_is_not_known_is_passed_over() {
+        let hello = Message::Hello { name: "n1".into(), group: "g".into() };
+        let mut reader = Reader::default();
+        reader.push(&frame(VERSION + 1, b"a later version"));
+        reader.push(&frame(VERSION, &[99, 1, 2, 3]));
+        reader.push(&encode(&hello));
+        // A field behind those that are known.
+        let mut longer = kind(PING, &7u64);
+        longer.extend([1, 2, 3]);
+        reader.push(&frame(VERSION, &longer));
+        let known = item(&Item { uid: "s-1".into(), news: News::Back { since: Nanos(5) }, age: Nanos(1) });
+        let told = WireTold { ping: 1, held: 2, whole: true, items: vec![(77, vec![9]), known] };
+        reader.push(&frame(VERSION, &kind(TOLD, &told)));
+        let heard = all(&mut reader).expect("no fault");
+        assert_eq!(heard[..2], [hello, Message::Ping(7)]);
+        assert!(matches!(&heard[2], Message::Told(t) if t.items.len() == 1 && t.items[0].uid == "s-1"));
+    }
+
+    /// These bytes are what version 1 is. A change that breaks them needs a version of its own.
+    #[test]
+    fn version_1_stays_readable() {
+        let bytes = [
+            0, 0, 0, 27, 1, 225, 22, 127, 70, 3, 5, 9, 1, 1, 1, 15, 3, b's', b'-', b'1', 128, 148, 235, 220,
+            3, 128, 168, 214, 185, 7, 1,
+        ];
+        let item = Item {
+            uid: "s-1".into(),
+            news: News::Out { since: Nanos(2_000_000_000), risky: true },
+            age: Nanos(1_000_000_000),
+        };
+        let told = Message::Told(Told { ping: 5, held: Nanos(9), whole: true, items: vec![item] });
+        assert_eq!(encode(&told), bytes);
+        let mut reader = Reader::default();
+        reader.push(&bytes);
+        assert_eq!(reader.message(), Ok(Some(told)));
+    }
+
+    #[test]
+    fn figures_that_are_none_are_refused() {
+        for rate in [f64::NAN, f64::INFINITY, -1.0] {
+            let bad = Item { uid: "s".into(), news: News::Pace { rate }, age: Nanos(0) };
+            let mut reader = Reader::default();
+            reader.push(&encode(&Message::Told(Told { items: vec![bad], ..Told::default() })));
+            assert_eq!(reader.message(), Err(Fault::Garbled));
+        }
+        let mut reader = Reader::default();
+        reader.push(&u32::MAX.to_be_bytes());
+        assert_eq!(reader.message(), Err(Fault::TooLong(u32::MAX as usize)));
+    }
+
+    #[test]
+    fn a_large_table_goes_in_parts_that_fit() {
+        let item =
+            |n: u32| Item { uid: format!("{n:0>200}"), news: News::Back { since: Nanos(1) }, age: Nanos(1) };
+        let parts = parts((0..5000).map(item).collect());
+        assert_eq!(parts.iter().map(Vec::len).sum::<usize>(), 5000);
+        for items in parts {
+            assert!(encode(&Message::Told(Told { items, ..Told::default() })).len() <= MOST);
+        }
+    }
+}
--- /dev/null
+++ b/src/neighbours/link.rs
@@ -0,0 +1,365 @@
+//! One connection between two neighbours: one learns, the other teaches. Holds the sockets' side only; what is told is
+//! `tell`'s, how it looks `frame`'s, what counts of it `weigh`'s. Each side ends a connection that is silent, slow or
+//! spoilt; nothing waits for it.
+use super::frame::{self, Message, Reader, Told};
+use super::tell::Telling;
+use super::Own;
+use crate::clock;
+use crate::interface::Nanos;
+use std::collections::VecDeque;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::sync::watch;
+use tokio::time::{interval, timeout, Instant, MissedTickBehavior};
+
+/// A side that says nothing for so long is taken for dead.
+const SILENCE: Duration = Duration::from_secs(3);
+/// The first word of each side is due by then, TLS included.
+pub const HELLO_BY: Duration = Duration::from_secs(2);
+/// A peer that takes no bytes for so long is not written to any more.
+const WRITE_FOR: Duration = Duration::from_secs(2);
+/// How often the learner asks for a sign of life, by which the way of a frame is bounded.
+const PING: Duration = Duration::from_millis(250);
+/// A teacher that has nothing new says so this often.
+const BEAT: Duration = Duration::from_millis(500);
+/// After so long a connection is made anew, so that a certificate that has ended does not live on in an old one.
+const LIFE: Duration = Duration::from_secs(600);
+/// What a teacher may send: so many bytes at once, and a second. A thousand endpoints in a bad minute are a tenth.
+const BYTES_AT_ONCE: f64 = 2e6;
+const BYTES_A_SECOND: f64 = 256e3;
+
+/// How a connection ended.
+#[derive(Debug, PartialEq)]
+pub enum End {
+    /// It broke, or this side has ended it in the usual way: try again soon.
+    Over(String),
+    /// The peer is none to learn from: leave it alone for a while.
+    Shun(String),
+}
+
+/// Who speaks.
+#[derive(Clone)]
+pub struct Me {
+    /// This forwarder's name.
+    pub name: String,
+    /// Its group.
+    pub group: String,
+}
+
+impl Me {
+    fn hello(&self) -> Vec<u8> {
+        frame::encode(&Message::Hello { name: self.name.clone(), group: self.group.clone() })
+    }
+}
+
+/// Reads what comes, bounded in time and in bytes.
+struct Hearing<R> {
+    stream: R,
+    reader: Reader,
+    bytes: Box<[u8]>,
+    allowance: f64,
+    at: Instant,
+}
+
+impl<R: AsyncRead + Unpin> Hearing<R> {
+    fn new(stream: R) -> Hearing<R> {
+        let bytes = vec![0; 8 * 1024].into_boxed_slice();
+        Hearing { stream, reader: Reader::default(), bytes, allowance: BYTES_AT_ONCE, at: Instant::now() }
+    }
+
+    /// The next message. Stopped in the midst, it goes on where it was.
+    async fn next(&mut self) -> Result<Message, End> {
+        loop {
+            match self.reader.message() {
+                Ok(Some(message)) => return Ok(message),
+                Ok(None) => {}
+                Err(fault) => return Err(End::Shun(fault.to_string())),
+            }
+            let read = self.stream.read(&mut self.bytes).await.map_err(|e| End::Over(e.to_string()))?;
+            if read == 0 {
+                return Err(End::Over("closed".into()));
+            }
+            let now = Instant::now();
+            self.allowance += (now - self.at).as_secs_f64() * BYTES_A_SECOND - read as f64;
+            self.allowance = self.allowance.min(BYTES_AT_ONCE);
+            self.at = now;
+            if self.allowance < 0.0 {
+                return Err(End::Shun("a flood".into()));
+            }
+            self.reader.push(&self.bytes[..read]);
+        }
+    }
+
+    async fn hello(&mut self, me: &Me) -> Result<String, End> {
+        match timeout(HELLO_BY, self.next()).await {
+            Ok(Ok(Message::Hello { name, group })) if group == me.group => Ok(name),
+            Ok(Ok(Message::Hello { group, .. })) => Err(End::Shun(format!("of another group: {group}"))),
+            Ok(Ok(_)) => Err(End::Shun("no hello".into())),
+            Ok(Err(end)) => Err(end),
+            Err(_) => Err(End::Over("no hello in time".into())),
+        }
+    }
+}
+
+async fn write<W: AsyncWrite + Unpin>(stream: &mut W, bytes: &[u8]) -> Result<(), End> {
+    let both = async {
+        stream.write_all(bytes).await?;
+        stream.flush().await
+    };
+    match timeout(WRITE_FOR, both).await {
+        Ok(done) => done.map_err(|e| End::Over(e.to_string())),
+        Err(_) => Err(End::Over("takes no bytes".into())),
+    }
+}
+
+/// Teaches whoever came: all that this forwarder has seen itself, then what changes.
+pub async fn teach<S: AsyncRead + AsyncWrite>(stream: S, me: &Me, mut own: watch::Receiver<Own>) -> End {
+    let (read, mut write_to) = tokio::io::split(stream);
+    let mut hearing = Hearing::new(read);
+    let run = async {
+        let peer = hearing.hello(me).await?;
+        write(&mut write_to, &me.hello()).await?;
+        log::debug!(neighbour = peer; "teaching");
+        let mut telling = Telling::default();
+        // The number of the last ping, and when it came.
+        let (mut ping, mut whole) = ((0, clock::now()), true);
+        let (mut beat, mut heard) = (interval(BEAT), Instant::now());
+        beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let until = Instant::now() + LIFE;
+        loop {
+            let now = clock::now();
+            let known = own.borrow_and_update().at(now);
+            let due = telling.due(now, &known);
+            let parts = frame::parts(due);
+            let last = parts.len();
+            for (n, items) in parts.into_iter().enumerate() {
+                let told =
+                    Told { ping: ping.0, held: clock::now() - ping.1, whole: whole && n + 1 == last, items };
+                write(&mut write_to, &frame::encode(&Message::Told(told))).await?;
+            }
+            whole = false;
+            // Whatever wakes it up, there is something to say only after one of these two.
+            loop {
+                tokio::select! {
+                    message = hearing.next() => match message? {
+                        Message::Ping(n) => (ping, heard) = ((n, clock::now()), Instant::now()),
+                        Message::Hello { .. } | Message::Told(_) => return Err(End::Shun("speaks out of turn".into())),
+                    },
+                    changed = own.changed() => match changed {
+                        Ok(()) => break,
+                        Err(_) => return Err(End::Over("this forwarder ends".into())),
+                    },
+                    _ = beat.tick() => break,
+                }
+            }
+            if heard.elapsed() > SILENCE {
+                return Err(End::Over("silent".into()));
+            }
+            if Instant::now() > until {
+                return Err(End::Over("made anew".into()));
+            }
+        }
+    };
+    let ended: Result<(), End> = run.await;
+    ended.err().unwrap_or(End::Over(String::new()))
+}
+
+/// Learns from a neighbour: `take` gets what it told, and how long that can have been on its way at the most.
+pub async fn learn<S: AsyncRead + AsyncWrite>(stream: S, me: &Me, mut take: impl FnMut(Nanos, Told)) -> End {
+    let (read, mut write_to) = tokio::io::split(stream);
+    let mut hearing = Hearing::new(read);
+    let run = async {
+        let began = Instant::now();
+        write(&mut write_to, &me.hello()).await?;
+        let peer = hearing.hello(me).await?;
+        log::info!(neighbour = peer; "learning from a neighbour");
+        let mut pings: VecDeque<(u64, Instant)> = VecDeque::from([(0, began)]);
+        let mut ticks = interval(PING);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut heard = Instant::now();
+        loop {
+            tokio::select! {
+                message = hearing.next() => {
+                    heard = Instant::now();
+                    let told = match message? {
+                        Message::Told(told) => told,
+                        Message::Hello { .. } | Message::Ping(_) => {
+                            return Err(End::Shun("speaks out of turn".into()));
+                        }
+                    };
+                    // The frame was built after that ping had come and had been there for `held`.
+                    let sent = pings.iter().find(|p| p.0 == told.ping).map_or(began, |p| p.1);
+                    pings.retain(|p| p.0 >= told.ping);
+                    let way = Nanos(sent.elapsed().as_nanos() as u64) - told.held;
+                    take(way, told);
+                }
+                _ = ticks.tick() => {
+                    if heard.elapsed() > SILENCE {
+                        return Err(End::Over("silent".into()));
+                    }
+                    let next = pings.back().map_or(1, |p| p.0 + 1);
+                    pings.push_back((next, Instant::now()));
+                    write(&mut write_to, &frame::encode(&Message::Ping(next))).await?;
+                }
+            }
+        }
+    };
+    let ended: Result<(), End> = run.await;
+    ended.err().unwrap_or(End::Over(String::new()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::Sighting as Item;
+    use crate::interface::News;
+    use rstest::rstest;
+    use std::sync::Arc;
+    use tokio::io::{duplex, DuplexStream};
+
+    fn me() -> Me {
+        Me { name: "n0".into(), group: "g".into() }
+    }
+
+    fn item(uid: &str, news: News) -> Item {
+        Item { uid: uid.into(), news, age: Nanos(0) }
+    }
+
+    fn out(uid: &str) -> Item {
+        item(uid, News::Out { since: Nanos::from_secs(5.0), risky: true })
+    }
+
+    fn own(items: Vec<Item>) -> Own {
+        Own { items: Arc::new(items), at: clock::now() }
+    }
+
+    fn told(items: Vec<Item>) -> Vec<u8> {
+        frame::encode(&Message::Told(Told { items, whole: true, ..Told::default() }))
+    }
+
+    fn hello(group: &str) -> Vec<u8> {
+        frame::encode(&Message::Hello { name: "n1".into(), group: group.into() })
+    }
+
+    /// A scripted teacher: says its bytes and then closes, or holds the connection open. Gives what was learned.
+    async fn script(bytes: Vec<u8>, closes: bool) -> (End, Vec<Item>) {
+        let (near, far) = duplex(1 << 16);
+        let teacher = async move {
+            let (mut read, mut write) = tokio::io::split(far);
+            let drain = async { while matches!(read.read(&mut [0; 512]).await, Ok(n) if n > 0) {} };
+            let say = async {
+                let _ = write.write_all(&bytes).await;
+                match closes {
+                    true => drop(write.shutdown().await),
+                    false => std::future::pending().await,
+                }
+            };
+            tokio::join!(drain, say)
+        };
+        let mut heard = Vec::new();
+        let me = me();
+        let end = tokio::select! {
+            end = learn(near, &me, |_, told| heard.extend(told.items)) => end,
+            _ = teacher => unreachable!("the learner ends first"),
+        };
+        (end, heard)
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_teacher_that_dies_in_the_midst_of_a_snapshot_has_taught_what_was_whole() {
+        let mut bytes = [hello("g"), told(vec![out("s-1")])].concat();
+        let second = told(vec![out("s-2")]);
+        bytes.extend(&second[..second.len() / 2]);
+        let (end, heard) = script(bytes, true).await;
+        assert!(matches!(end, End::Over(_)), "{end:?}");
+        assert_eq!(heard, [out("s-1")]);
+    }
+
+    #[rstest]
+    #[case::garbles([hello("g"), told(vec![out("s-1")]), vec![0, 0, 0, 9, 1, 1, 1, 1, 1, 9, 9, 9, 9]].concat(), "checksum")]
+    #[case::gigabytes([hello("g"), vec![0x7f, 0xff, 0xff, 0xff]].concat(), "a frame of 2147483647 bytes")]
+    #[case::another_group([hello("other"), told(vec![out("s-1")])].concat(), "another group")]
+    #[case::no_hello(told(vec![out("s-1")]), "no hello")]
+    #[case::out_of_turn([hello("g"), hello("g")].concat(), "out of turn")]
+    #[case::http(b"HTTP/1.1 200 OK\r\n\r\n".to_vec(), "a frame of")]
+    #[tokio::test(start_paused = true)]
+    async fn a_teacher_that_makes_no_sense_is_left_alone(#[case] bytes: Vec<u8>, #[case] wanted: &str) {
+        let (end, _) = script(bytes, false).await;
+        assert!(matches!(&end, End::Shun(why) if why.contains(wanted)), "{end:?}");
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_teacher_that_floods_is_left_alone() {
+        let frame = told((0..700).map(|n| out(&format!("s-{n:0>40}"))).collect());
+        let flood: Vec<u8> =
+            hello("g").into_iter().chain(frame.iter().copied().cycle().take(4_000_000)).collect();
+        let (end, _) = script(flood, false).await;
+        assert_eq!(end, End::Shun("a flood".into()));
+    }
+
+    #[rstest]
+    #[case::before_its_hello(Vec::new())]
+    #[case::half_open_after_it(hello("g"))]
+    #[tokio::test(start_paused = true)]
+    async fn a_silent_teacher_is_given_up(#[case] bytes: Vec<u8>) {
+        let begun = Instant::now();
+        let (end, _) = script(bytes, false).await;
+        assert!(matches!(end, End::Over(_)), "{end:?}");
+        assert!(begun.elapsed() <= HELLO_BY + SILENCE + PING);
+    }
+
+    fn pair() -> (DuplexStream, DuplexStream) {
+        duplex(1 << 16)
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_snapshot_comes_first_and_then_what_changes() {
+        let (near, far) = pair();
+        let (say, own_now) = watch::channel(own(vec![out("s-1"), item("s-2", News::Room { calls: 2.0 })]));
+        let teacher = tokio::spawn(async move { teach(far, &me(), own_now).await });
+        let (tell, mut heard) = tokio::sync::mpsc::unbounded_channel();
+        let learner = tokio::spawn(async move { learn(near, &me(), |_, told| drop(tell.send(told))).await });
+        let first = heard.recv().await.expect("a snapshot");
+        assert!(first.whole);
+        assert_eq!(first.items.len(), 2);
+        say.send_replace(own(vec![
+            item("s-1", News::Back { since: Nanos(0) }),
+            item("s-2", News::Room { calls: 2.0 }),
+        ]));
+        let change = loop {
+            let told = heard.recv().await.expect("it goes on");
+            if !told.items.is_empty() {
+                break told;
+            }
+        };
+        assert!(!change.whole && change.items.len() == 1 && change.items[0].uid == "s-1", "{change:?}");
+        // A forwarder that ends says so by closing; the learner sees it at once.
+        drop(say);
+        assert!(matches!(teacher.await, Ok(End::Over(_))));
+        assert!(matches!(learner.await, Ok(End::Over(_))));
+    }
+
+    /// The way of a frame is never taken for shorter than it was.
+    #[tokio::test(start_paused = true)]
+    async fn the_way_is_bounded_by_the_ping_that_the_frame_answers() {
+        let (near, far) = pair();
+        let (tell, mut heard) = tokio::sync::mpsc::unbounded_channel();
+        tokio::spawn(async move { learn(near, &me(), |way, told| drop(tell.send((way, told)))).await });
+        let (mut read, mut write) = tokio::io::split(far);
+        let mut hearing = Hearing::new(&mut read);
+        assert_eq!(hearing.hello(&me()).await, Ok("n0".into()));
+        write.write_all(&hello("g")).await.expect("written");
+        let ping = loop {
+            if let Ok(Message::Ping(n)) = hearing.next().await {
+                break n;
+            }
+        };
+        // It had the ping for a tenth of a second; the frame then lies on its way for seven tenths.
+        let held = Nanos::from_secs(0.1);
+        let frame = frame::encode(&Message::Told(Told { ping, held, whole: true, items: vec![out("s-1")] }));
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        write.write_all(&frame).await.expect("written");
+        let (way, _) = heard.recv().await.expect("told");
+        assert!((0.7..0.75).contains(&way.secs()), "{way:?}");
+    }
+}
--- /dev/null
+++ b/src/neighbours/members.rs
@@ -0,0 +1,364 @@
+//! Who is there: SWIM by `foca` over UDP (Das, Gupta and Motivala, "SWIM", 2002). Says where a neighbour may be found
+//! and no more; whom to believe is settled by certificates, on the connections. This file drives foca and decides
+//! which neighbours to learn from; it holds no socket.
+use foca::{AccumulatingRuntime, Config, Foca, Identity, OwnedNotification, PostcardCodec, Timer};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::SeedableRng;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::num::{NonZeroU32, NonZeroUsize};
+use std::time::Duration;
+
+/// Members kept in the table; more are passed over.
+const MEMBERS_MOST: usize = 1000;
+/// A forwarder learns from so many at once: three views are enough to start from, and each costs its teacher little.
+pub const TEACHERS: usize = 3;
+/// A neighbour that garbles, floods or is not trusted is left alone for so long, in seconds.
+pub const SHUNNED: f64 = 60.0;
+/// One that could not be reached, or that broke off, in seconds.
+pub const AGAIN: f64 = 1.0;
+/// Datagrams stay under what most networks carry in one piece.
+pub const DATAGRAM: usize = 1400;
+/// A restart gives its old name up sooner than SWIM would call it dead; the rest is for real failures.
+const PROBE: Duration = Duration::from_millis(500);
+const PROBE_RTT: Duration = Duration::from_millis(150);
+const SUSPECT: Duration = Duration::from_secs(3);
+
+/// A forwarder as its neighbours know it. A restart under the same name is a later incarnation of the same address.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Member {
+    /// Where it hears datagrams and takes connections.
+    pub address: SocketAddr,
+    /// Its forwarder's name.
+    pub name: String,
+    /// Rises with each start and each time that it was wrongly taken for dead.
+    pub incarnation: u64,
+}
+
+impl Identity for Member {
+    type Addr = SocketAddr;
+
+    fn renew(&self) -> Option<Member> {
+        Some(Member { incarnation: self.incarnation + 1, ..self.clone() })
+    }
+    fn addr(&self) -> SocketAddr {
+        self.address
+    }
+    fn win_addr_conflict(&self, other: &Member) -> bool {
+        (self.incarnation, &self.name) > (other.incarnation, &other.name)
+    }
+}
+
+/// What is to be done after a step.
+#[derive(Default)]
+pub struct Steps {
+    /// Datagrams, and where to.
+    pub send: Vec<(SocketAddr, Vec<u8>)>,
+    /// Timers, and after how long they are to be handed back.
+    pub timers: Vec<(Duration, Timer<Member>)>,
+}
+
+/// Membership as seen by one forwarder.
+pub struct Members {
+    foca: Foca<Member, PostcardCodec, StdRng, foca::NoCustomBroadcast>,
+    runtime: AccumulatingRuntime<Member>,
+    me: SocketAddr,
+}
+
+impl Members {
+    /// Alone at first. `size` is about how many forwarders there are.
+    pub fn new(me: Member, size: u32, seed: u64) -> Members {
+        let mut config = Config::new_lan(NonZeroU32::new(size).unwrap_or(NonZeroU32::MIN));
+        config.probe_period = PROBE;
+        config.probe_rtt = PROBE_RTT;
+        config.suspect_to_down_after = SUSPECT;
+        config.max_packet_size = NonZeroUsize::new(DATAGRAM).unwrap_or(NonZeroUsize::MIN);
+        config.notify_down_members = true;
+        let address = me.address;
+        let foca = Foca::new(me, config, StdRng::seed_from_u64(seed), PostcardCodec);
+        Members { foca, runtime: AccumulatingRuntime::new(), me: address }
+    }
+
+    /// Makes itself known at an address.
+    pub fn announce(&mut self, to: SocketAddr) -> Steps {
+        if to == self.me {
+            return Steps::default();
+        }
+        // Only the address counts for a message that is not for a member yet.
+        let to = Member { address: to, name: String::new(), incarnation: 0 };
+        let told = self.foca.announce(to, &mut self.runtime);
+        self.steps("announcing", told)
+    }
+
+    /// Takes in a datagram, whatever it holds.
+    pub fn datagram(&mut self, bytes: &[u8]) -> Steps {
+        if self.foca.num_members() >= MEMBERS_MOST {
+            return Steps::default();
+        }
+        let told = self.foca.handle_data(bytes, &mut self.runtime);
+        self.steps("a datagram", told)
+    }
+
+    /// Takes a timer back.
+    pub fn timer(&mut self, timer: Timer<Member>) -> Steps {
+        let told = self.foca.handle_timer(timer, &mut self.runtime);
+        self.steps("a timer", told)
+    }
+
+    /// Says goodbye: a planned restart needs no suspicion.
+    pub fn leave(&mut self) -> Steps {
+        let told = self.foca.leave_cluster(&mut self.runtime);
+        self.steps("leaving", told)
+    }
+
+    /// Those that are taken to live, without this one.
+    pub fn active(&self) -> Vec<Member> {
+        self.foca.iter_members().map(|m| m.id().clone()).collect()
+    }
+
+    fn steps(&mut self, what: &str, told: Result<(), foca::Error>) -> Steps {
+        if let Err(fault) = told {
+            // Also what a stranger sent. It changes nothing.
+            log::debug!("{what}: {fault}");
+        }
+        let mut steps = Steps::default();
+        while let Some((to, bytes)) = self.runtime.to_send() {
+            steps.send.push((to.address, bytes.to_vec()));
+        }
+        while let Some(timer) = self.runtime.to_schedule() {
+            steps.timers.push(timer);
+        }
+        while let Some(notification) = self.runtime.to_notify() {
+            match notification {
+                OwnedNotification::MemberUp(m) => log::info!(neighbour = m.name; "neighbour is there"),
+                OwnedNotification::MemberDown(m) => log::info!(neighbour = m.name; "neighbour is gone"),
+                OwnedNotification::Rename(_, m) => log::info!(neighbour = m.name; "neighbour started anew"),
+                OwnedNotification::Rejoin(m) => {
+                    log::info!(neighbour = m.name; "taken for dead, joined again")
+                }
+                OwnedNotification::Active | OwnedNotification::Idle | OwnedNotification::Defunct => {}
+            }
+        }
+        steps
+    }
+}
+
+/// From whom to learn: some of those that are there, chosen anew when one ends.
+pub struct Teachers {
+    seeds: Vec<SocketAddr>,
+    me: SocketAddr,
+    with: BTreeSet<SocketAddr>,
+    not_before: BTreeMap<SocketAddr, f64>,
+    random: StdRng,
+}
+
+impl Teachers {
+    /// `seeds` are tried from the start: who waits for membership to settle has learned everything the hard way.
+    pub fn new(me: SocketAddr, seeds: Vec<SocketAddr>, seed: u64) -> Teachers {
+        let random = StdRng::seed_from_u64(seed);
+        Teachers { seeds, me, with: BTreeSet::new(), not_before: BTreeMap::new(), random }
+    }
+
+    /// To whom to connect now; `now` in seconds of any clock that only moves forward.
+    pub fn choose(&mut self, now: f64, members: &[Member]) -> Vec<SocketAddr> {
+        self.not_before.retain(|_, at| *at > now);
+        let known: BTreeSet<SocketAddr> =
+            members.iter().map(|m| m.address).chain(self.seeds.clone()).collect();
+        let may =
+            |a: &SocketAddr| *a != self.me && !self.with.contains(a) && !self.not_before.contains_key(a);
+        let free: Vec<SocketAddr> = known.into_iter().filter(may).collect();
+        let room = TEACHERS.saturating_sub(self.with.len());
+        let chosen: Vec<SocketAddr> = free.choose_multiple(&mut self.random, room).copied().collect();
+        self.with.extend(&chosen);
+        chosen
+    }
+
+    /// The connection has ended; the next to this one is made after `pause` seconds.
+    pub fn ended(&mut self, now: f64, who: SocketAddr, pause: f64) {
+        self.with.remove(&who);
+        if self.not_before.len() < MEMBERS_MOST {
+            self.not_before.insert(who, now + pause);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BinaryHeap;
+
+    fn address(n: u16) -> SocketAddr {
+        ([127, 0, 0, 1], 1000 + n).into()
+    }
+
+    fn member(n: u16, incarnation: u64) -> Member {
+        Member { address: address(n), name: format!("n{n}"), incarnation }
+    }
+
+    /// Forwarders on a network that this test cuts and mends, in virtual time.
+    struct Net {
+        nodes: BTreeMap<SocketAddr, Members>,
+        queue: BinaryHeap<std::cmp::Reverse<(Duration, u64)>>,
+        events: BTreeMap<u64, (SocketAddr, What)>,
+        now: Duration,
+        next: u64,
+        /// Datagrams between the two halves do not arrive.
+        cut: Option<u16>,
+    }
+
+    enum What {
+        Bytes(SocketAddr, Vec<u8>),
+        Timer(Timer<Member>),
+    }
+
+    impl Net {
+        fn new() -> Net {
+            Net {
+                nodes: BTreeMap::new(),
+                queue: BinaryHeap::new(),
+                events: BTreeMap::new(),
+                now: Duration::ZERO,
+                next: 0,
+                cut: None,
+            }
+        }
+        fn push(&mut self, after: Duration, at: SocketAddr, what: What) {
+            self.next += 1;
+            self.queue.push(std::cmp::Reverse((self.now + after, self.next)));
+            self.events.insert(self.next, (at, what));
+        }
+        fn steps(&mut self, of: SocketAddr, steps: Steps) {
+            for (to, bytes) in steps.send {
+                self.push(Duration::from_millis(1), to, What::Bytes(of, bytes));
+            }
+            for (after, timer) in steps.timers {
+                self.push(after, of, What::Timer(timer));
+            }
+        }
+        fn start(&mut self, n: u16, incarnation: u64, seed: u16) {
+            self.events.retain(|_, (at, what)| *at != address(n) || !matches!(what, What::Timer(_)));
+            let mut members = Members::new(member(n, incarnation), 10, u64::from(n));
+            let steps = members.announce(address(seed));
+            self.nodes.insert(address(n), members);
+            self.steps(address(n), steps);
+        }
+        fn run(&mut self, secs: u64) {
+            let until = self.now + Duration::from_secs(secs);
+            while let Some(std::cmp::Reverse((at, id))) =
+                self.queue.peek().copied().filter(|e| e.0 .0 <= until)
+            {
+                self.queue.pop();
+                self.now = at;
+                let Some((to, what)) = self.events.remove(&id) else { continue };
+                let Some(node) = self.nodes.get_mut(&to) else { continue };
+                let steps = match what {
+                    What::Bytes(from, _)
+                        if self.cut.is_some_and(|c| (from.port() < c) != (to.port() < c)) =>
+                    {
+                        continue
+                    }
+                    What::Bytes(_, bytes) => node.datagram(&bytes),
+                    What::Timer(timer) => node.timer(timer),
+                };
+                self.steps(to, steps);
+            }
+            self.now = until;
+        }
+        fn seen_by(&self, n: u16) -> Vec<Member> {
+            let mut seen = self.nodes[&address(n)].active();
+            seen.sort();
+            seen
+        }
+    }
+
+    #[test]
+    fn all_find_each_other_and_a_dead_one_is_missed() {
+        let mut net = Net::new();
+        (0..5).for_each(|n| net.start(n, 1, 0));
+        net.run(20);
+        for n in 0..5 {
+            assert_eq!(net.seen_by(n).len(), 4, "seen by {n}: {:?}", net.seen_by(n));
+        }
+        net.nodes.remove(&address(3));
+        net.run(20);
+        assert!(net.seen_by(0).iter().all(|m| m.name != "n3"));
+        // Under the same name and address again: the new incarnation is there at once, whatever was said of the old.
+        net.start(3, 2, 0);
+        net.run(5);
+        for n in [0, 1, 2, 4] {
+            assert!(net.seen_by(n).contains(&member(3, 2)), "seen by {n}: {:?}", net.seen_by(n));
+        }
+    }
+
+    #[test]
+    fn two_halves_that_were_cut_apart_find_each_other_again() {
+        let mut net = Net::new();
+        (0..6).for_each(|n| net.start(n, 1, 0));
+        net.run(20);
+        net.cut = Some(1003);
+        net.run(30);
+        assert!(net.seen_by(0).iter().all(|m| m.address.port() < 1003), "{:?}", net.seen_by(0));
+        net.cut = None;
+        // As the daemon does: who was seen before is asked again, now and then.
+        let steps = net.nodes.get_mut(&address(5)).expect("it is there").announce(address(0));
+        net.steps(address(5), steps);
+        net.run(40);
+        for n in 0..6 {
+            assert_eq!(net.seen_by(n).len(), 5, "seen by {n}: {:?}", net.seen_by(n));
+        }
+    }
+
+    #[test]
+    fn a_third_of_them_restart_at_a_time_and_none_is_lost() {
+        let mut net = Net::new();
+        (0..9).for_each(|n| net.start(n, 1, 0));
+        net.run(20);
+        for third in 0..3 {
+            for n in (0..9).filter(|n| n % 3 == third) {
+                let steps = net.nodes.get_mut(&address(n)).expect("it is there").leave();
+                net.steps(address(n), steps);
+            }
+            net.run(1);
+            for n in (0..9).filter(|n| n % 3 == third) {
+                net.start(n, 2, (n + 1) % 9);
+            }
+            net.run(15);
+        }
+        for n in 0..9 {
+            let seen = net.seen_by(n);
+            assert_eq!(seen.len(), 8, "seen by {n}: {seen:?}");
+            assert!(seen.iter().all(|m| m.incarnation >= 2), "{seen:?}");
+        }
+    }
+
+    #[test]
+    fn what_strangers_send_changes_nothing() {
+        let mut members = Members::new(member(0, 1), 10, 1);
+        for n in 0..200u8 {
+            let steps = members.datagram(&vec![n; usize::from(n)]);
+            assert!(steps.send.len() <= 1);
+        }
+        assert!(members.active().is_empty());
+    }
+
+    #[test]
+    fn three_teach_and_one_that_ended_is_left_alone_for_a_while() {
+        let mut teachers = Teachers::new(address(0), vec![address(1), address(0)], 7);
+        assert_eq!(teachers.choose(0.0, &[]), [address(1)], "seeds are there from the start");
+        let members: Vec<Member> = (0..9).map(|n| member(n, 1)).collect();
+        let chosen = teachers.choose(0.0, &members);
+        assert_eq!(chosen.len(), TEACHERS - 1);
+        assert!(!chosen.contains(&address(0)) && !chosen.contains(&address(1)));
+        assert!(teachers.choose(0.1, &members).is_empty());
+        teachers.ended(1.0, address(1), SHUNNED);
+        for n in 0..50 {
+            let now = 1.0 + f64::from(n);
+            for one in teachers.choose(now, &members) {
+                assert_ne!(one, address(1));
+                teachers.ended(now, one, 0.0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/neighbours/mod.rs
@@ -0,0 +1,289 @@
+//! Learning from running neighbours: who is there (`members`), whom to believe (`trust`), what is told (`tell`, `frame`)
+//! and what counts of it (`weigh`). Here are the sockets and the tasks. Nothing of the forwarder waits for any of it:
+//! what is learned comes as an input of a moment like all else. Off unless it is given an address to listen on.
+//! `docs/design/neighbours.md` says why it is as it is, `docs/operate/neighbours.md` how to run it.
+pub mod frame;
+pub mod link;
+pub mod members;
+pub mod tell;
+pub mod trust;
+pub mod weigh;
+
+use crate::clock;
+use crate::exchange::Exchange;
+use crate::flags;
+use crate::interface::Nanos;
+use frame::Item;
+use link::{End, Me};
+use members::{Member, Members, Steps, Teachers};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::time::{interval, sleep, sleep_until, timeout, Instant};
+use tokio_rustls::{TlsAcceptor, TlsConnector};
+use trust::Trust;
+use weigh::Weigh;
+
+/// How soon news goes out, and how soon what counts is looked at anew.
+const LOOK: Duration = Duration::from_millis(100);
+/// Neighbours that are taught at once; more are turned away, and find others.
+const LEARNERS: usize = 64;
+const CONNECT_FOR: Duration = Duration::from_secs(1);
+/// How often those that were seen once and the seeds are greeted again: groups that were cut apart meet again by it.
+const GREET: Duration = Duration::from_secs(5);
+/// Messages of neighbours that wait to be weighed; a reader waits while there are more.
+const WAITING: usize = 256;
+
+/// What this forwarder has seen itself, and when that was looked up.
+#[derive(Clone, Default)]
+pub struct Own {
+    items: Arc<Vec<Item>>,
+    at: Nanos,
+}
+
+impl Own {
+    /// The same at a later time: all is that much older, and a wait has that much less left.
+    fn at(&self, now: Nanos) -> Vec<Item> {
+        use crate::interface::News;
+        let past = now - self.at;
+        let later = |item: &Item| {
+            let news = match item.news {
+                News::Out { since, risky } => News::Out { since: since + past, risky },
+                News::Back { since } => News::Back { since: since + past },
+                News::Wait { left } if left <= past => return None,
+                News::Wait { left } => News::Wait { left: left - past },
+                news @ (News::Well { .. } | News::Pace { .. } | News::Room { .. }) => news,
+            };
+            Some(Item { uid: item.uid.clone(), news, age: item.age + past })
+        };
+        self.items.iter().filter_map(later).collect()
+    }
+}
+
+/// Starts all of it; returns at once. What cannot be started is logged, and the forwarder goes on without.
+pub fn start(flags: &flags::Neighbours, name: &str, seed: u64, exchange: &Exchange) {
+    let Some(listen) = flags.listen else { return };
+    let Some(files) = flags.files() else {
+        return log::error!("neighbours are off: they need a certificate, a key and an authority");
+    };
+    let trust = match Trust::new(files) {
+        Ok(trust) => Arc::new(trust),
+        Err(fault) => return log::error!("neighbours are off: {fault}"),
+    };
+    let me = Me { name: name.to_string(), group: flags.group.clone() };
+    // Between incarnations of one name only; other clocks are never compared with it.
+    let member = Member { address: listen, name: name.to_string(), incarnation: clock::now().0 / 1_000_000 };
+    let (seeds, size, exchange) = (flags.seeds.clone(), flags.size, exchange.clone());
+    tokio::spawn(async move {
+        let sockets = async { Ok((UdpSocket::bind(listen).await?, TcpListener::bind(listen).await?)) };
+        let (datagrams, listener): (UdpSocket, TcpListener) = match sockets.await {
+            Ok(sockets) => sockets,
+            Err(e) => {
+                let e: std::io::Error = e;
+                return log::error!("neighbours are off: {listen}: {e}");
+            }
+        };
+        log::info!("neighbours: listening on {listen}");
+        let (own_in, own) = watch::channel(Own::default());
+        let (there_in, there) = watch::channel(Vec::new());
+        let (learned_in, learned) = mpsc::channel(WAITING);
+        tokio::spawn(look(exchange.clone(), own_in));
+        tokio::spawn(weigh_all(exchange, learned));
+        tokio::spawn(teach_all(listener, trust.clone(), me.clone(), own));
+        tokio::spawn(gossip(datagrams, Members::new(member, size, seed), seeds.clone(), there_in));
+        learn_all(Teachers::new(listen, seeds, seed), trust, me, there, learned_in).await;
+    });
+}
+
+/// Keeps what this forwarder has seen itself at hand, while somebody wants to know.
+async fn look(exchange: Exchange, own: watch::Sender<Own>) {
+    let mut ticks = interval(LOOK);
+    loop {
+        ticks.tick().await;
+        // One receiver is the listener's own.
+        if own.receiver_count() > 1 {
+            let items = Arc::new(exchange.known().await);
+            own.send_replace(Own { items, at: clock::now() });
+        }
+    }
+}
+
+/// What came from one neighbour.
+struct Learned {
+    from: weigh::Neighbour,
+    way: Nanos,
+    items: Vec<Item>,
+}
+
+async fn weigh_all(exchange: Exchange, mut learned: mpsc::Receiver<Learned>) {
+    let mut weigh = Weigh::default();
+    let mut ticks = interval(LOOK);
+    loop {
+        tokio::select! {
+            some = learned.recv() => match some {
+                Some(Learned { from, way, items }) => weigh.take(clock::now(), from, way, items),
+                None => return,
+            },
+            _ = ticks.tick() => {}
+        }
+        while let Ok(Learned { from, way, items }) = learned.try_recv() {
+            weigh.take(clock::now(), from, way, items);
+        }
+        let counts = weigh.counts(clock::now());
+        if !counts.is_empty() {
+            exchange.hearsay(counts);
+        }
+    }
+}
+
+async fn teach_all(listener: TcpListener, trust: Arc<Trust>, me: Me, own: watch::Receiver<Own>) {
+    let seats = Arc::new(Semaphore::new(LEARNERS));
+    loop {
+        let (socket, from) = match listener.accept().await {
+            Ok(come) => come,
+            Err(e) => {
+                log::warn!("neighbours: connection not taken in: {e}");
+                sleep(LOOK).await;
+                continue;
+            }
+        };
+        // With no seat left the connection closes at once: whoever came finds another teacher.
+        let Ok(seat) = seats.clone().try_acquire_owned() else { continue };
+        let (server, me, own) = (trust.sides().server, me.clone(), own.clone());
+        tokio::spawn(async move {
+            let _seat = seat;
+            let _ = socket.set_nodelay(true);
+            match timeout(link::HELLO_BY, TlsAcceptor::from(server).accept(socket)).await {
+                Ok(Ok(stream)) => match link::teach(stream, &me, own).await {
+                    End::Over(why) => log::debug!("neighbours: {from} learns no more: {why}"),
+                    End::Shun(why) => log::warn!("neighbours: {from} is not taught: {why}"),
+                },
+                Ok(Err(e)) => log::warn!("neighbours: {from} is not taught: {e}"),
+                Err(_) => log::debug!("neighbours: {from}: a handshake without end"),
+            }
+        });
+    }
+}
+
+/// Learns from some of those that are there, for as long as the process runs.
+async fn learn_all(
+    mut teachers: Teachers, trust: Arc<Trust>, me: Me, there: watch::Receiver<Vec<Member>>,
+    learned: mpsc::Sender<Learned>,
+) {
+    let began = Instant::now();
+    let (ended_in, mut ended) = mpsc::unbounded_channel();
+    // One line for each that is shunned, not one for each try.
+    let mut shunned: BTreeMap<SocketAddr, String> = BTreeMap::new();
+    let mut next = 0;
+    let mut ticks = interval(LOOK);
+    loop {
+        let now = || began.elapsed().as_secs_f64();
+        tokio::select! {
+            _ = ticks.tick() => {}
+            some = ended.recv() => if let Some((who, end)) = some {
+                let pause = match end {
+                    End::Over(why) => {
+                        log::debug!("neighbours: learning from {who} is over: {why}");
+                        members::AGAIN
+                    }
+                    End::Shun(why) => {
+                        if shunned.get(&who) != Some(&why) {
+                            log::warn!("neighbours: nothing is learned from {who}: {why}");
+                            shunned.insert(who, why);
+                        }
+                        members::SHUNNED
+                    }
+                };
+                teachers.ended(now(), who, pause);
+            },
+        }
+        let chosen = teachers.choose(now(), &there.borrow());
+        for who in chosen {
+            next += 1;
+            let (client, me, learned, ended) =
+                (trust.sides().client, me.clone(), learned.clone(), ended_in.clone());
+            let from = next;
+            tokio::spawn(async move {
+                let end = learn_from(who, from, TlsConnector::from(client), &me, &learned).await;
+                let _ = ended.send((who, end));
+            });
+        }
+    }
+}
+
+async fn learn_from(
+    who: SocketAddr, from: weigh::Neighbour, tls: TlsConnector, me: &Me, learned: &mpsc::Sender<Learned>,
+) -> End {
+    let connect = async {
+        let socket = TcpStream::connect(who).await.map_err(|e| End::Over(e.to_string()))?;
+        let _ = socket.set_nodelay(true);
+        Ok(socket)
+    };
+    let socket = match timeout(CONNECT_FOR, connect).await {
+        Ok(Ok(socket)) => socket,
+        Ok(Err(end)) => return end,
+        Err(_) => return End::Over("no connection in time".into()),
+    };
+    let stream = match timeout(link::HELLO_BY, tls.connect(trust::server_name(), socket)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) if e.kind() == std::io::ErrorKind::InvalidData => return End::Shun(e.to_string()),
+        Ok(Err(e)) => return End::Over(e.to_string()),
+        Err(_) => return End::Over("a handshake without end".into()),
+    };
+    link::learn(stream, me, |way, told| {
+        // Where weighing is behind, news is dropped; what counts is told again.
+        let _ = learned.try_send(Learned { from, way, items: told.items });
+    })
+    .await
+}
+
+/// Membership over UDP.
+async fn gossip(
+    socket: UdpSocket, mut members: Members, seeds: Vec<SocketAddr>, there: watch::Sender<Vec<Member>>,
+) {
+    let mut timers: BTreeMap<(Instant, u64), foca::Timer<Member>> = BTreeMap::new();
+    let mut next = 0u64;
+    let mut greet = interval(GREET);
+    let mut bytes = vec![0; 64 * 1024];
+    loop {
+        let due = timers.first_key_value().map(|(at, _)| at.0);
+        let steps: Vec<Steps> = tokio::select! {
+            read = socket.recv_from(&mut bytes) => match read {
+                Ok((size, _)) if size <= members::DATAGRAM => vec![members.datagram(&bytes[..size])],
+                Ok(_) => continue,
+                // On loopback an earlier datagram that nobody took comes back as an error.
+                Err(_) => continue,
+            },
+            () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
+                match timers.pop_first() {
+                    Some((_, timer)) => vec![members.timer(timer)],
+                    None => continue,
+                }
+            }
+            _ = greet.tick() => {
+                let active: Vec<SocketAddr> = members.active().iter().map(|m| m.address).collect();
+                let missing = seeds.iter().filter(|s| !active.contains(s));
+                missing.map(|s| members.announce(*s)).collect()
+            }
+        };
+        for steps in steps {
+            for (to, datagram) in steps.send {
+                // Lost like any datagram; SWIM asks again.
+                let _ = socket.send_to(&datagram, to).await;
+            }
+            for (after, timer) in steps.timers {
+                next += 1;
+                timers.insert((Instant::now() + after, next), timer);
+            }
+        }
+        let active = members.active();
+        there.send_if_modified(|held| {
+            let changed = *held != active;
+            held.clone_from(&active);
+            changed
+        });
+    }
+}
--- /dev/null
+++ b/src/neighbours/trust.rs
@@ -0,0 +1,145 @@
+//! Whom to believe: mutual TLS between forwarders. Each has a certificate of the authority that a file names, made out
+//! to the one name that all forwarders share; the standard verifiers check both sides. The files are read again when
+//! they change, so a certificate is renewed without a restart; new files that cannot be used change nothing.
+use crate::check::Fault;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::SystemTime;
+use tokio_rustls::rustls::crypto::ring::default_provider;
+use tokio_rustls::rustls::pki_types::pem::PemObject;
+use tokio_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use tokio_rustls::rustls::server::WebPkiClientVerifier;
+use tokio_rustls::rustls::version::TLS13;
+use tokio_rustls::rustls::{ClientConfig, RootCertStore, ServerConfig};
+
+/// The DNS name that each forwarder's certificate carries. The authority is for forwarders alone, and which of them one
+/// talks to makes no difference.
+pub const NAME: &str = "micaladder-neighbour";
+
+/// Where the certificates lie (PEM).
+#[derive(Clone, Debug)]
+pub struct Files {
+    /// This forwarder's certificate, with those that lead to the authority behind it.
+    pub certificate: PathBuf,
+    /// Its key.
+    pub key: PathBuf,
+    /// The authority's certificate, or several.
+    pub authority: PathBuf,
+}
+
+/// Both sides' settings.
+#[derive(Clone)]
+pub struct Sides {
+    /// For those who come.
+    pub server: Arc<ServerConfig>,
+    /// For those to whom this one goes.
+    pub client: Arc<ClientConfig>,
+}
+
+/// When a file was written, and how long it is.
+type Stamp = Vec<Option<(SystemTime, u64)>>;
+
+struct Held {
+    stamp: Stamp,
+    sides: Sides,
+}
+
+/// What is in use, and from where.
+pub struct Trust {
+    files: Files,
+    held: Mutex<Held>,
+}
+
+impl Trust {
+    /// Reads the files.
+    ///
+    /// # Errors
+    ///
+    /// A file that cannot be read or used, named.
+    pub fn new(files: Files) -> Result<Trust, Fault> {
+        let held = Held { stamp: files.stamp(), sides: files.read()? };
+        Ok(Trust { files, held: Mutex::new(held) })
+    }
+
+    /// What is in use now. Asked for each connection: the files are looked at, and read where they changed.
+    pub fn sides(&self) -> Sides {
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let stamp = self.files.stamp();
+        if stamp != held.stamp {
+            // Also after a fault: a file that is half written is tried again when it has changed once more.
+            held.stamp = stamp;
+            match self.files.read() {
+                Ok(sides) => {
+                    log::info!("neighbours: new certificates are in use");
+                    held.sides = sides;
+                }
+                Err(fault) => {
+                    log::error!("neighbours: certificates not reloaded, the old ones stay: {fault}")
+                }
+            }
+        }
+        held.sides.clone()
+    }
+}
+
+/// The name that is asked for.
+pub fn server_name() -> ServerName<'static> {
+    // A constant that is a name: the test below holds it to that.
+    ServerName::try_from(NAME).unwrap_or(ServerName::IpAddress(std::net::Ipv4Addr::UNSPECIFIED.into()))
+}
+
+impl Files {
+    fn stamp(&self) -> Stamp {
+        let of = |path: &Path| std::fs::metadata(path).ok().and_then(|m| Some((m.modified().ok()?, m.len())));
+        [&self.certificate, &self.key, &self.authority].into_iter().map(|path| of(path)).collect()
+    }
+
+    /// Both sides' settings.
+    ///
+    /// # Errors
+    ///
+    /// A file that cannot be read or used, named.
+    pub fn read(&self) -> Result<Sides, Fault> {
+        let said = |path: &Path, e: &dyn std::fmt::Display| Fault {
+            file: path.into(),
+            key: String::new(),
+            what: e.to_string(),
+        };
+        let chain = || -> Result<Vec<CertificateDer<'static>>, Fault> {
+            let read = CertificateDer::pem_file_iter(&self.certificate);
+            let chain: Result<Vec<_>, _> = read.map_err(|e| said(&self.certificate, &e))?.collect();
+            chain.map_err(|e| said(&self.certificate, &e))
+        };
+        let key = || PrivateKeyDer::from_pem_file(&self.key).map_err(|e| said(&self.key, &e));
+        let mut roots = RootCertStore::empty();
+        let read = CertificateDer::pem_file_iter(&self.authority).map_err(|e| said(&self.authority, &e))?;
+        for certificate in read {
+            let certificate = certificate.map_err(|e| said(&self.authority, &e))?;
+            roots.add(certificate).map_err(|e| said(&self.authority, &e))?;
+        }
+        if roots.is_empty() {
+            return Err(said(&self.authority, &"holds no certificate"));
+        }
+        let (roots, provider) = (Arc::new(roots), Arc::new(default_provider()));
+        let own = |e: tokio_rustls::rustls::Error| said(&self.certificate, &e);
+        let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone());
+        let verifier = verifier.build().map_err(|e| said(&self.authority, &e))?;
+        let server = ServerConfig::builder_with_provider(provider.clone()).with_protocol_versions(&[&TLS13]);
+        let server = server.map_err(own)?.with_client_cert_verifier(verifier);
+        let server = server.with_single_cert(chain()?, key()?).map_err(own)?;
+        let client = ClientConfig::builder_with_provider(provider).with_protocol_versions(&[&TLS13]);
+        let client = client.map_err(own)?.with_root_certificates(roots);
+        let client = client.with_client_auth_cert(chain()?, key()?).map_err(own)?;
+        Ok(Sides { server: Arc::new(server), client: Arc::new(client) })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_name_is_a_name() {
+        assert!(matches!(server_name(), ServerName::DnsName(n) if n.as_ref() == NAME));
+    }
+}
--- /dev/null
+++ b/src/neighbours/weigh.rs
@@ -0,0 +1,365 @@
+//! What neighbours say, weighed, without I/O: who saw what and when, by this forwarder's own clock; which of several
+//! that disagree counts; and for how long. What this forwarder has seen itself is the decision module's to weigh
+//! against it: own experience wins there unless it is older.
+//!
+//! | news | counts for | where neighbours disagree |
+//! | --- | --- | --- |
+//! | out | as long as the outage had lasted when it was seen, from 2 s to a minute | the youngest sight wins; two within a second of each other count as bad |
+//! | back | half a minute: it is a reason for less, not for more | the same; of two that say so, the later start |
+//! | well | a second | the same |
+//! | wait | to the end that the partner told | the latest end |
+//! | pace, room | ten seconds | the youngest sight |
+use super::frame::Item;
+use crate::interface::{Nanos, News};
+use std::collections::BTreeMap;
+
+/// Bad news counts at the least and at the most for so long, in seconds.
+const OUT_LEAST: f64 = 2.0;
+const OUT_MOST: f64 = 60.0;
+/// A start that is longer ago is a cold one no more, in seconds.
+const BACK: f64 = 30.0;
+/// Good news ages fast: a partner may have gone cold since. In seconds.
+const WELL: f64 = 1.0;
+/// A limit that was met is soon another, in seconds.
+const LIMIT: f64 = 10.0;
+/// Two sights this close, in seconds, tell nothing of which was later: path and build times differ by more.
+const TOGETHER: f64 = 1.0;
+/// What counts is said again after so long, in seconds, for endpoints that discovery lists only now.
+const AGAIN: f64 = 1.0;
+/// No wait of a partner is longer, in seconds; a neighbour that says so is not believed.
+const WAIT_MOST: f64 = 600.0;
+
+/// Endpoints of which something is kept, and neighbours of which it is kept for each.
+const ENDPOINTS_MOST: usize = 20_000;
+const NEIGHBOURS_MOST: usize = 8;
+
+/// A neighbour, by a number that a restart under the same name does not keep.
+pub type Neighbour = u64;
+
+/// What news is about: of each only the last counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Topic {
+    State,
+    Wait,
+    Pace,
+    Room,
+}
+
+/// What a neighbour saw, in this forwarder's own time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Sight {
+    Out { began: Nanos, risky: bool },
+    Back { began: Nanos },
+    Well { mean: f64, dev: f64 },
+    Wait { until: Nanos },
+    Pace { rate: f64 },
+    Room { calls: f64 },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    at: Nanos,
+    sight: Sight,
+}
+
+impl Seen {
+    /// Until when it counts.
+    fn until(&self) -> Nanos {
+        match self.sight {
+            Sight::Out { began, .. } => self.at + (self.at - began).secs().clamp(OUT_LEAST, OUT_MOST),
+            Sight::Back { .. } => self.at + BACK,
+            Sight::Well { .. } => self.at + WELL,
+            Sight::Wait { until } => until,
+            Sight::Pace { .. } | Sight::Room { .. } => self.at + LIMIT,
+        }
+    }
+
+    fn topic(&self) -> Topic {
+        match self.sight {
+            Sight::Out { .. } | Sight::Back { .. } | Sight::Well { .. } => Topic::State,
+            Sight::Wait { .. } => Topic::Wait,
+            Sight::Pace { .. } => Topic::Pace,
+            Sight::Room { .. } => Topic::Room,
+        }
+    }
+
+    /// How bad it is: of two sights at once the worse one counts.
+    fn badness(&self) -> u8 {
+        match self.sight {
+            Sight::Out { .. } => 2,
+            Sight::Back { .. } => 1,
+            Sight::Well { .. } | Sight::Wait { .. } | Sight::Pace { .. } | Sight::Room { .. } => 0,
+        }
+    }
+}
+
+#[derive(Default)]
+struct Endpoint {
+    seen: BTreeMap<(Topic, Neighbour), Seen>,
+    /// When it was last said, and whether there is something new since.
+    said: Nanos,
+    fresh: bool,
+}
+
+/// All that neighbours said and that may still count.
+#[derive(Default)]
+pub struct Weigh {
+    endpoints: BTreeMap<String, Endpoint>,
+}
+
+impl Weigh {
+    /// Takes in what a neighbour told. `way` is the longest that the frame can have been on its way: all in it is
+    /// that much older, and a wait has that much less left, so that it never ends later than the partner said.
+    pub fn take(&mut self, now: Nanos, from: Neighbour, way: Nanos, items: Vec<Item>) {
+        for item in items {
+            let at = now - item.age - way;
+            let sight = match item.news {
+                News::Out { since, risky } => Sight::Out { began: now - way - since, risky },
+                News::Back { since } => Sight::Back { began: now - way - since },
+                News::Well { mean, dev } => Sight::Well { mean, dev },
+                News::Wait { left } => {
+                    let left = left - way;
+                    Sight::Wait { until: if left.secs() > WAIT_MOST { now } else { now + left } }
+                }
+                News::Pace { rate } => Sight::Pace { rate },
+                News::Room { calls } => Sight::Room { calls },
+            };
+            let seen = Seen { at, sight };
+            if seen.until() <= now || !self.make_room(now, &item.uid) {
+                continue;
+            }
+            let endpoint = self.endpoints.entry(item.uid).or_default();
+            let key = (seen.topic(), from);
+            // What was on its way longer may come later.
+            if endpoint.seen.get(&key).is_some_and(|before| before.at > at) {
+                continue;
+            }
+            let crowded = endpoint.seen.keys().filter(|k| k.0 == key.0).count() >= NEIGHBOURS_MOST;
+            if crowded && !endpoint.seen.contains_key(&key) {
+                let oldest = endpoint.seen.iter().filter(|(k, _)| k.0 == key.0).min_by_key(|(_, s)| s.at);
+                let oldest = oldest.map(|(k, _)| *k);
+                oldest.map(|k| endpoint.seen.remove(&k));
+            }
+            endpoint.seen.insert(key, seen);
+            endpoint.fresh = true;
+        }
+    }
+
+    /// Whether there is a place for this endpoint. When all are taken those that no longer count go; if none does,
+    /// the new one is not taken in: a neighbour cannot push out what others said.
+    fn make_room(&mut self, now: Nanos, uid: &str) -> bool {
+        if self.endpoints.len() >= ENDPOINTS_MOST && !self.endpoints.contains_key(uid) {
+            self.endpoints.retain(|_, e| e.seen.values().any(|s| s.until() > now));
+        }
+        self.endpoints.len() < ENDPOINTS_MOST || self.endpoints.contains_key(uid)
+    }
+
+    /// What counts now and is new, or has not been said for a while.
+    pub fn counts(&mut self, now: Nanos) -> Vec<Item> {
+        let mut items = Vec::new();
+        self.endpoints.retain(|uid, endpoint| {
+            endpoint.seen.retain(|_, s| s.until() > now);
+            if endpoint.fresh || (now - endpoint.said).secs() >= AGAIN {
+                (endpoint.said, endpoint.fresh) = (now, false);
+                items.extend(endpoint.counts(now).map(|(news, age)| Item { uid: uid.clone(), news, age }));
+            }
+            !endpoint.seen.is_empty()
+        });
+        items
+    }
+
+    /// How many endpoints something is kept of.
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Whether nothing is kept.
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+}
+
+impl Endpoint {
+    fn of(&self, topic: Topic) -> impl Iterator<Item = &Seen> {
+        self.seen.iter().filter(move |(k, _)| k.0 == topic).map(|(_, s)| s)
+    }
+
+    fn counts(&self, now: Nanos) -> impl Iterator<Item = (News, Nanos)> {
+        let youngest = |topic| self.of(topic).max_by_key(|s| s.at).copied();
+        let latest = self.of(Topic::Wait).max_by_key(|s| s.until()).copied();
+        [self.state(), latest, youngest(Topic::Pace), youngest(Topic::Room)]
+            .into_iter()
+            .flatten()
+            .map(move |s| (s.news(now), now - s.at))
+    }
+
+    fn state(&self) -> Option<Seen> {
+        let last = self.of(Topic::State).map(|s| s.at).max()?;
+        let together = |s: &&Seen| (last - s.at).secs() <= TOGETHER;
+        let worst = self.of(Topic::State).filter(together).map(Seen::badness).max()?;
+        let alike: Vec<Seen> =
+            self.of(Topic::State).filter(together).filter(|s| s.badness() == worst).copied().collect();
+        let mut state = *alike.iter().max_by_key(|s| s.at)?;
+        for other in &alike {
+            state.sight = match (state.sight, other.sight) {
+                (Sight::Out { began, risky }, Sight::Out { risky: r, .. }) => {
+                    Sight::Out { began, risky: risky | r }
+                }
+                (Sight::Back { began }, Sight::Back { began: b }) => Sight::Back { began: began.max(b) },
+                (sight, _) => sight,
+            };
+        }
+        Some(state)
+    }
+}
+
+impl Seen {
+    fn news(&self, now: Nanos) -> News {
+        match self.sight {
+            Sight::Out { began, risky } => News::Out { since: now - began, risky },
+            Sight::Back { began } => News::Back { since: now - began },
+            Sight::Well { mean, dev } => News::Well { mean, dev },
+            Sight::Wait { until } => News::Wait { left: until - now },
+            Sight::Pace { rate } => News::Pace { rate },
+            Sight::Room { calls } => News::Room { calls },
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use rstest::rstest;
+
+    const A: Neighbour = 1;
+    const B: Neighbour = 2;
+    const NONE: Nanos = Nanos(0);
+
+    fn at(secs: f64) -> Nanos {
+        Nanos::from_secs(1000.0 + secs)
+    }
+
+    fn span(secs: f64) -> Nanos {
+        Nanos::from_secs(secs)
+    }
+
+    fn item(news: News, age: f64) -> Vec<Item> {
+        vec![Item { uid: "s-1".into(), news, age: span(age) }]
+    }
+
+    fn out(since: f64) -> News {
+        News::Out { since: span(since), risky: false }
+    }
+
+    fn back(since: f64) -> News {
+        News::Back { since: span(since) }
+    }
+
+    const WELL_NEWS: News = News::Well { mean: 0.1, dev: 0.05 };
+
+    /// Two neighbours' words, `age` seconds old, and what counts of them at once.
+    #[rstest]
+    #[case::cold_after_it_was_well((WELL_NEWS, 5.0), (out(1.0), 0.5), Some(2))]
+    #[case::well_is_soon_forgotten((WELL_NEWS, 1.5), (WELL_NEWS, 1.2), None)]
+    #[case::the_youngest_sight_wins((out(10.0), 4.0), (back(2.0), 0.1), Some(1))]
+    #[case::and_so_it_does_for_bad_news((back(9.0), 4.0), (out(1.0), 0.1), Some(2))]
+    #[case::within_a_second_the_worse_one((out(10.0), 0.9), (WELL_NEWS, 0.0), Some(2))]
+    #[case::a_long_outage_is_believed_longer((out(50.0), 20.0), (WELL_NEWS, 1.5), Some(2))]
+    #[case::a_short_one_is_not((out(3.0), 2.5), (WELL_NEWS, 1.5), None)]
+    fn neighbours_that_disagree(#[case] a: (News, f64), #[case] b: (News, f64), #[case] wanted: Option<u8>) {
+        for (first, second) in [(a, b), (b, a)] {
+            let mut weigh = Weigh::default();
+            weigh.take(at(0.0), A, NONE, item(first.0, first.1));
+            weigh.take(at(0.0), B, NONE, item(second.0, second.1));
+            let counts = weigh.counts(at(0.0));
+            let badness = counts.first().map(|i| match i.news {
+                News::Out { .. } => 2,
+                News::Back { .. } => 1,
+                _ => 0,
+            });
+            assert_eq!(badness, wanted, "{counts:?}");
+            assert!(counts.len() <= 1);
+        }
+    }
+
+    #[test]
+    fn a_wait_learned_second_hand_never_ends_later_than_the_partner_said() {
+        let mut weigh = Weigh::default();
+        // Told at 0 with 5 s; the frame was built at 1, and may have been under way since 0.7.
+        weigh.take(at(1.2), A, span(0.5), item(News::Wait { left: span(4.0) }, 1.0));
+        let left = |weigh: &mut Weigh, now| match weigh.counts(now).first().map(|i| i.news) {
+            Some(News::Wait { left }) => left,
+            other => panic!("{other:?}"),
+        };
+        assert_eq!(at(1.2) + left(&mut weigh, at(1.2)), at(4.7));
+        assert_eq!(
+            at(3.0) + left(&mut weigh, at(3.0)),
+            at(4.7),
+            "said again later, it ends at the same time"
+        );
+        weigh.take(at(3.0), B, NONE, item(News::Wait { left: span(0.5) }, 0.0));
+        assert_eq!(at(3.0) + left(&mut weigh, at(3.0)), at(4.7), "the latest end counts");
+        assert!(weigh.counts(at(4.7)).is_empty());
+        weigh.take(at(5.0), A, NONE, item(News::Wait { left: span(1e6) }, 0.0));
+        assert!(weigh.counts(at(5.0)).is_empty(), "no partner says so long a wait");
+    }
+
+    #[test]
+    fn what_came_later_but_was_seen_earlier_changes_nothing() {
+        let mut weigh = Weigh::default();
+        weigh.take(at(10.0), A, NONE, item(back(1.0), 0.2));
+        weigh.take(at(10.1), A, span(3.0), item(out(5.0), 0.1));
+        assert!(matches!(weigh.counts(at(10.1))[0].news, News::Back { .. }));
+    }
+
+    #[test]
+    fn of_two_that_saw_it_return_the_later_moment_counts() {
+        let mut weigh = Weigh::default();
+        weigh.take(at(0.0), A, NONE, item(back(3.0), 0.0));
+        weigh.take(at(0.0), B, NONE, item(back(1.0), 0.4));
+        assert_eq!(weigh.counts(at(0.0))[0].news, back(1.0));
+    }
+
+    #[test]
+    fn a_flood_of_names_takes_a_bounded_place_and_pushes_nobody_out() {
+        let mut weigh = Weigh::default();
+        weigh.take(at(0.0), A, NONE, item(out(60.0), 0.0));
+        for n in 0..ENDPOINTS_MOST as u64 + 500 {
+            let one = Item { uid: format!("x-{n}"), news: out(60.0), age: NONE };
+            weigh.take(at(0.0), B, NONE, vec![one]);
+        }
+        assert_eq!(weigh.len(), ENDPOINTS_MOST);
+        assert!(weigh.counts(at(0.1)).iter().any(|i| i.uid == "s-1"));
+        for n in 0..50 {
+            weigh.take(at(0.2), n, NONE, item(out(60.0), 0.0));
+        }
+        assert!(weigh.endpoints["s-1"].seen.len() <= NEIGHBOURS_MOST);
+        assert!(weigh.counts(at(200.0)).is_empty() && weigh.is_empty(), "all is forgotten in time");
+    }
+
+    proptest! {
+        /// Whatever comes in whatever order, what counts is what some neighbour saw, no younger than it was, and no
+        /// outage counts longer than its time.
+        #[test]
+        fn nothing_counts_that_nobody_saw(
+            words in prop::collection::vec((0..4u64, 0..3u8, 0.0..5.0f64, 0.0..20.0f64, 0.0..2.0f64), 1..30),
+        ) {
+            let mut weigh = Weigh::default();
+            let mut now = at(0.0);
+            let mut told = Vec::new();
+            for (from, kind, after, age, way) in words {
+                now = now + after;
+                let news = [out(age + 3.0), back(age), WELL_NEWS][kind as usize];
+                weigh.take(now, from, span(way), item(news, age));
+                told.push((kind, now - span(age) - span(way)));
+                for one in weigh.counts(now) {
+                    let kind = match one.news { News::Out { .. } => 0, News::Back { .. } => 1, _ => 2 };
+                    let seen = now - one.age;
+                    prop_assert!(told.contains(&(kind, seen)), "{one:?} at {now:?} of {told:?}");
+                    prop_assert!(one.age.secs() <= OUT_MOST);
+                }
+            }
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -129,6 +129,9 @@
     pub listed: f64,
     /// Refusals in a row.
     pub strikes: u32,
+    /// The end of the waits that this relay was told itself; and whether its pace is a neighbour's word.
+    pub own_wait: Nanos,
+    pub hearsay: bool,
 }
 
 impl Route {
@@ -195,6 +198,14 @@
     pub doubt: bool,
     /// Calls a second that may go while in doubt.
     pub allowed: f64,
+    /// The last own outcome; the first of those by which the breaker is own experience; and whether it is a
+    /// neighbour's word.
+    pub own_at: Option<Nanos>,
+    pub own_since: Nanos,
+    pub hearsay: bool,
+    /// The same of its room and of its latency.
+    pub room_hearsay: bool,
+    pub mean_hearsay: bool,
 }
 
 impl Host {
