--- a/tests/neighbours.rs
+++ b/tests/neighbours.rs
@@ -1,70 +1,14 @@
 //! Learning from running neighbours: real processes on loopback with certificates of their own, and partners that are
 //! sick, say waits and come back.
+mod neighbours_common;
 mod stand;
-use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use neighbours_common::{place, Authority};
 use stand::*;
 use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// An authority and the folder in which its forwarders' files lie.
-struct Authority {
-    folder: tempfile::TempDir,
-    issuer: Issuer<'static, KeyPair>,
-}
-
-impl Authority {
-    fn new() -> Authority {
-        let folder = tempfile::tempdir().expect("a folder");
-        let mut params = CertificateParams::new(Vec::new()).expect("parameters");
-        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-        let key = KeyPair::generate().expect("a key");
-        let certificate = params.self_signed(&key).expect("a certificate");
-        std::fs::write(folder.path().join("authority.pem"), certificate.pem()).expect("written");
-        Authority { issuer: Issuer::new(params, key), folder }
-    }
-
-    fn path(&self, name: &str) -> PathBuf {
-        self.folder.path().join(name)
-    }
-
-    /// A forwarder's certificate and key; `ended`: its time is over.
-    fn write(&self, name: &str, ended: bool) {
-        let mut params =
-            CertificateParams::new(vec!["micaladder-neighbour".to_string()]).expect("parameters");
-        if ended {
-            params.not_before = rcgen::date_time_ymd(2020, 1, 1);
-            params.not_after = rcgen::date_time_ymd(2021, 1, 1);
-        }
-        let key = KeyPair::generate().expect("a key");
-        let certificate = params.signed_by(&key, &self.issuer).expect("a certificate");
-        std::fs::write(self.path(&format!("{name}.key")), key.serialize_pem()).expect("written");
-        std::fs::write(self.path(&format!("{name}.pem")), certificate.pem()).expect("written");
-    }
-
-    fn flags(&self, name: &str, listen: SocketAddr, seeds: &[SocketAddr]) -> Vec<String> {
-        let text = |path: &Path| path.to_string_lossy().into_owned();
-        let mut flags = vec![
-            format!("--name={name}"),
-            format!("--neighbours-listen={listen}"),
-            format!("--neighbours-certificate={}", text(&self.path(&format!("{name}.pem")))),
-            format!("--neighbours-key={}", text(&self.path(&format!("{name}.key")))),
-            format!("--neighbours-authority={}", text(&self.path("authority.pem"))),
-        ];
-        if !seeds.is_empty() {
-            let seeds: Vec<String> = seeds.iter().map(|s| s.to_string()).collect();
-            flags.push(format!("--neighbours-seeds={}", seeds.join(",")));
-        }
-        flags
-    }
-}
-
-fn place() -> SocketAddr {
-    ([127, 0, 0, 1], free_port()).into()
-}
-
 /// A partner that can be sick: then it reads a call and closes without a word.
 fn partner() -> (Server, Arc<AtomicBool>) {
     let sick = Arc::new(AtomicBool::new(true));
@@ -219,3 +163,54 @@
     assert_eq!(a.hand_in("stats", "s1"), 202);
     endpoint.wait_id("s1");
 }
+
+/// At an old address under a new id it is another one: what was said of the old one is not said of it.
+#[test]
+fn an_endpoint_that_was_replaced_starts_without_the_old_ones_fame() {
+    let authority = Authority::new();
+    let ((first, _), (second, _)) = (partner(), partner());
+    let known = list(1, &[(7, first.addr), (8, second.addr)]);
+    let disco = discovery(known.clone());
+    let at_a = place();
+    let a = veteran(&authority, at_a, &disco, &known);
+    for n in 0..4 {
+        let text = String::from_utf8(message("stats", &format!("o{n}"), "20000m", "")).expect("text");
+        assert_eq!(a.ask(text.replace("dest=7", "dest=8").as_bytes()).map(|h| h.status()), Some(202));
+    }
+    a.wait_log("breaker opened host=s-1");
+    authority.write("b", false);
+    let replaced = known.replace("s-0", "s-9");
+    let fresh = discovery(replaced.clone());
+    let b = Setup { flags: authority.flags("b", place(), &[at_a]), ..setup(&fresh, replaced) }.start();
+    b.wait_log("neighbours saw host=s-1 news=Out");
+    // Both were in the same snapshot.
+    assert!(!b.log().contains("host=s-9 news"), "{}", b.log());
+    assert_eq!(b.hand_in("stats", "b1"), 202);
+    first.wait_id("b1");
+}
+
+#[test]
+fn when_all_start_at_once_nobody_knows_anything_and_all_serve() {
+    let authority = Authority::new();
+    let endpoint = Server::always("200 OK");
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = discovery(known.clone());
+    let places = [place(), place(), place()];
+    let mut all: Vec<Daemon> = ["a", "b", "c"]
+        .iter()
+        .zip(places)
+        .map(|(name, at)| {
+            authority.write(name, false);
+            Setup { flags: authority.flags(name, at, &places), ..setup(&disco, known.clone()) }.start()
+        })
+        .collect();
+    all.iter().for_each(|d| drop(d.wait_log("learning from a neighbour")));
+    all.iter_mut().for_each(Daemon::kill);
+    all.iter_mut().for_each(Daemon::start_again);
+    for (n, one) in all.iter().enumerate() {
+        assert_eq!(one.hand_in("payout", &format!("all-{n}")), 202);
+        endpoint.wait_id(&format!("all-{n}"));
+        one.wait_log("learning from a neighbour");
+        assert!(!one.log().contains("news=Out"));
+    }
+}
--- /dev/null
+++ b/tests/neighbours_common/mod.rs
@@ -0,0 +1,62 @@
+//! The certificates of forwarders that learn from each other, and the flags that name them.
+#![allow(dead_code)]
+use crate::stand::free_port;
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// An authority and the folder in which its forwarders' files lie.
+pub struct Authority {
+    folder: tempfile::TempDir,
+    issuer: Issuer<'static, KeyPair>,
+}
+
+impl Authority {
+    pub fn new() -> Authority {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut params = CertificateParams::new(Vec::new()).expect("parameters");
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let key = KeyPair::generate().expect("a key");
+        let certificate = params.self_signed(&key).expect("a certificate");
+        std::fs::write(folder.path().join("authority.pem"), certificate.pem()).expect("written");
+        Authority { issuer: Issuer::new(params, key), folder }
+    }
+
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    /// A forwarder's certificate and key; `ended`: its time is over.
+    pub fn write(&self, name: &str, ended: bool) {
+        let mut params =
+            CertificateParams::new(vec!["micaladder-neighbour".to_string()]).expect("parameters");
+        if ended {
+            params.not_before = rcgen::date_time_ymd(2020, 1, 1);
+            params.not_after = rcgen::date_time_ymd(2021, 1, 1);
+        }
+        let key = KeyPair::generate().expect("a key");
+        let certificate = params.signed_by(&key, &self.issuer).expect("a certificate");
+        std::fs::write(self.path(&format!("{name}.key")), key.serialize_pem()).expect("written");
+        std::fs::write(self.path(&format!("{name}.pem")), certificate.pem()).expect("written");
+    }
+
+    pub fn flags(&self, name: &str, listen: SocketAddr, seeds: &[SocketAddr]) -> Vec<String> {
+        let text = |path: &Path| path.to_string_lossy().into_owned();
+        let mut flags = vec![
+            format!("--name={name}"),
+            format!("--neighbours-listen={listen}"),
+            format!("--neighbours-certificate={}", text(&self.path(&format!("{name}.pem")))),
+            format!("--neighbours-key={}", text(&self.path(&format!("{name}.key")))),
+            format!("--neighbours-authority={}", text(&self.path("authority.pem"))),
+        ];
+        if !seeds.is_empty() {
+            let seeds: Vec<String> = seeds.iter().map(|s| s.to_string()).collect();
+            flags.push(format!("--neighbours-seeds={}", seeds.join(",")));
+        }
+        flags
+    }
+}
+
+pub fn place() -> SocketAddr {
+    ([127, 0, 0, 1], free_port()).into()
+}
