Give the checks of files and the frames of neighbours one piece of code for each thing

Cause: rereading the change found the same checks written twice: socket addresses and known names in the two checks of files, an address with a port three times, the same postcard reader in two functions, and certificate and key read from disk once for each side of TLS.

Change: `Faults::socket_address`, `Faults::known`, `settings::is_address` and `frame::take` serve all of them; trust reads each file once. Of several files that cannot be read the certificate is now named before the authority; nothing else changes, and no test was touched.

The platform's paths call only `is_address`, with the same condition.

--- a/src/as2/check.rs
+++ b/src/as2/check.rs
@@ -5,7 +5,6 @@
 use crate::settings::Site;
 use der::DecodePem;
 use hyper::Uri;
-use std::net::SocketAddr;
 use std::path::Path;
 use x509_cert::Certificate;
 
@@ -22,7 +21,7 @@
         }
     };
     let Some(file) = faults.json::<File>(&text, &[]) else { return faults.found };
-    address(&file.listen, "listen", &mut faults);
+    faults.socket_address(&file.listen, "listen");
     url(Some(&file.receipt_url), "receipt_url", &mut faults);
     let folder = path.parent().unwrap_or(Path::new("."));
     if file.enabled {
@@ -40,7 +39,7 @@
     }
     if let Some(acme) = &file.acme {
         url(Some(&acme.directory), "acme.directory", &mut faults);
-        address(&acme.challenge_listen, "acme.challenge_listen", &mut faults);
+        faults.socket_address(&acme.challenge_listen, "acme.challenge_listen");
         faults.unless(acme.renew_s > 0.0, "acme.renew_s", "is not above 0");
         faults.unless(acme.retry_s > 0.0, "acme.retry_s", "is not above 0");
     }
@@ -62,9 +61,8 @@
         let complete = !in_full.contains(&false);
         faults.unless(none || complete, key("forward_to"), "class, tenant and forward_to go together");
         let Some(site) = site else { continue };
-        let known = |names: &[String], name: &Option<String>| name.as_ref().is_none_or(|n| names.contains(n));
-        faults.unless(known(&site.classes, &p.class), key("class"), "is no class of the configuration");
-        faults.unless(known(&site.tenants, &p.tenant), key("tenant"), "is no tenant of the configuration");
+        faults.known(&p.class, &site.classes, key("class"), "is no class of the configuration");
+        faults.known(&p.tenant, &site.tenants, key("tenant"), "is no tenant of the configuration");
     }
     faults.found
 }
@@ -80,10 +78,6 @@
     }
 }
 
-fn address(text: &str, key: &str, faults: &mut Faults) {
-    faults.unless(text.parse::<SocketAddr>().is_ok(), key, format!("not a socket address: {text:?}"));
-}
-
 fn url(text: Option<&str>, key: &str, faults: &mut Faults) {
     let Some(text) = text.filter(|t| !t.is_empty()) else { return };
     let good = text.parse::<Uri>().is_ok_and(|u| u.host().is_some() && u.scheme().is_some());
--- a/src/check.rs
+++ b/src/check.rs
@@ -3,6 +3,7 @@
 use crate::{as2, flags, plugins, settings};
 use serde::de::DeserializeOwned;
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 /// One thing that is wrong.
@@ -58,6 +59,17 @@
         }
     }
 
+    /// Adds one unless it is a socket address.
+    pub fn socket_address(&mut self, text: &str, key: impl Into<String>) {
+        let good = text.parse::<SocketAddr>().is_ok();
+        self.unless(good, key, format!("not a socket address: {text:?}"));
+    }
+
+    /// Adds one if there is a name that is not among these.
+    pub fn known(&mut self, name: &Option<String>, names: &[String], key: impl Into<String>, what: &str) {
+        self.unless(name.as_ref().is_none_or(|n| names.contains(n)), key, what);
+    }
+
     /// Adds one for each name that stands twice.
     pub fn twice<'n>(&mut self, names: impl Iterator<Item = &'n str>, key: impl Fn(usize) -> String) {
         let mut seen = std::collections::BTreeSet::new();
--- a/src/neighbours/frame.rs
+++ b/src/neighbours/frame.rs
@@ -138,26 +138,23 @@
 }
 
 fn read_item((kind, bytes): &(u8, Vec<u8>)) -> Result<Option<Item>, Fault> {
-    fn rest<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Fault> {
-        postcard::take_from_bytes(bytes).map(|(value, _)| value).map_err(|_| Fault::Garbled)
-    }
     if !(1..=6).contains(kind) {
         return Ok(None);
     }
     let (head, bytes): (WireItem, &[u8]) = postcard::take_from_bytes(bytes).map_err(|_| Fault::Garbled)?;
     let news = match kind {
         1 => {
-            let (since, risky) = rest(bytes)?;
+            let (since, risky) = take(bytes)?;
             News::Out { since: Nanos(since), risky }
         }
-        2 => News::Back { since: Nanos(rest(bytes)?) },
+        2 => News::Back { since: Nanos(take(bytes)?) },
         3 => {
-            let (mean, dev) = rest(bytes)?;
+            let (mean, dev) = take(bytes)?;
             News::Well { mean, dev }
         }
-        4 => News::Wait { left: Nanos(rest(bytes)?) },
-        5 => News::Pace { rate: rest(bytes)? },
-        _ => News::Room { calls: rest(bytes)? },
+        4 => News::Wait { left: Nanos(take(bytes)?) },
+        5 => News::Pace { rate: take(bytes)? },
+        _ => News::Room { calls: take(bytes)? },
     };
     // Guards the module's arithmetic against figures that are none.
     let figures = match news {
@@ -236,10 +233,12 @@
     }
 }
 
+/// Reads a value; what stands behind it is a field of a later program.
+fn take<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Fault> {
+    postcard::take_from_bytes(bytes).map(|(value, _)| value).map_err(|_| Fault::Garbled)
+}
+
 fn read(payload: &[u8]) -> Result<Option<Message>, Fault> {
-    fn take<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Fault> {
-        postcard::take_from_bytes(bytes).map(|(value, _)| value).map_err(|_| Fault::Garbled)
-    }
     let (kind, bytes) = payload.split_first().ok_or(Fault::Garbled)?;
     match *kind {
         HELLO => {
--- a/src/neighbours/trust.rs
+++ b/src/neighbours/trust.rs
@@ -105,12 +105,9 @@
             key: String::new(),
             what: e.to_string(),
         };
-        let chain = || -> Result<Vec<CertificateDer<'static>>, Fault> {
-            let read = CertificateDer::pem_file_iter(&self.certificate);
-            let chain: Result<Vec<_>, _> = read.map_err(|e| said(&self.certificate, &e))?.collect();
-            chain.map_err(|e| said(&self.certificate, &e))
-        };
-        let key = || PrivateKeyDer::from_pem_file(&self.key).map_err(|e| said(&self.key, &e));
+        let chain = CertificateDer::pem_file_iter(&self.certificate).and_then(Iterator::collect);
+        let chain: Vec<CertificateDer<'static>> = chain.map_err(|e| said(&self.certificate, &e))?;
+        let key = PrivateKeyDer::from_pem_file(&self.key).map_err(|e| said(&self.key, &e))?;
         let mut roots = RootCertStore::empty();
         let read = CertificateDer::pem_file_iter(&self.authority).map_err(|e| said(&self.authority, &e))?;
         for certificate in read {
@@ -126,10 +123,10 @@
         let verifier = verifier.build().map_err(|e| said(&self.authority, &e))?;
         let server = ServerConfig::builder_with_provider(provider.clone()).with_protocol_versions(&[&TLS13]);
         let server = server.map_err(own)?.with_client_cert_verifier(verifier);
-        let server = server.with_single_cert(chain()?, key()?).map_err(own)?;
+        let server = server.with_single_cert(chain.clone(), key.clone_key()).map_err(own)?;
         let client = ClientConfig::builder_with_provider(provider).with_protocol_versions(&[&TLS13]);
         let client = client.map_err(own)?.with_root_certificates(roots);
-        let client = client.with_client_auth_cert(chain()?, key()?).map_err(own)?;
+        let client = client.with_client_auth_cert(chain, key).map_err(own)?;
         Ok(Sides { server: Arc::new(server), client: Arc::new(client) })
     }
 }
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -1,8 +1,6 @@
 //! What is wrong in a configuration: keys that nobody knows, words that mean nothing, figures that cannot be.
-use super::{Conf, File, GroupUpdate, Site};
+use super::{is_address, Conf, File, GroupUpdate, Site};
 use crate::check::{Fault, Faults};
-use hyper::http::uri::Authority;
-use std::net::SocketAddr;
 use std::path::Path;
 
 /// What the platform's file holds beside what this program uses.
@@ -63,12 +61,8 @@
 
 fn whole(f: &File, faults: &mut Faults) {
     faults.unless(!f.name.is_empty(), "name", "is empty");
-    if f.listen.parse::<SocketAddr>().is_err() {
-        faults.add("listen", format!("not a socket address: {:?}", f.listen));
-    }
-    if f.discovery.parse::<Authority>().ok().and_then(|a| a.port_u16()).is_none() {
-        faults.add("discovery", format!("no address: {:?}", f.discovery));
-    }
+    faults.socket_address(&f.listen, "listen");
+    faults.unless(is_address(&f.discovery), "discovery", format!("no address: {:?}", f.discovery));
     if u64::from_str_radix(&f.seed, 16).is_err() {
         faults.add("seed", format!("not up to 16 hexadecimal digits: {:?}", f.seed));
     }
@@ -114,11 +108,9 @@
     faults.twice(known.targets.iter().map(|t| t.uid.as_str()), |i| format!("known.targets[{i}].uid"));
     for (i, t) in known.targets.iter().enumerate() {
         let key = |k: &str| format!("known.targets[{i}].{k}");
-        let address = t.endpoint.parse::<Authority>().ok().and_then(|a| a.port_u16()).is_some();
-        faults.unless(address, key("endpoint"), format!("no address: {:?}", t.endpoint));
-        let known = |names: &[String], name: &Option<String>| name.as_ref().is_none_or(|n| names.contains(n));
-        faults.unless(known(&c.localities, &t.az), key("az"), "is not in settings.localities");
-        faults.unless(known(&c.flavors, &t.model), key("model"), "is not in settings.flavors");
+        faults.unless(is_address(&t.endpoint), key("endpoint"), format!("no address: {:?}", t.endpoint));
+        faults.known(&t.az, &c.localities, key("az"), "is not in settings.localities");
+        faults.known(&t.model, &c.flavors, key("model"), "is not in settings.flavors");
         faults.one_of(Some(&t.state), &["Ready", "Terminating", "Gone"], key("state"));
         faults.unless(t.capacity_hint.is_none_or(|c| c >= 0.0), key("capacity_hint"), "is below 0");
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -229,7 +229,7 @@
         let listen = before.listen.unwrap_or(file.listen);
         let discovery = before.discovery.unwrap_or(file.discovery);
         // Found here, and not by the first watch or notice that goes there: a reload must keep what works.
-        if discovery.parse::<Authority>().ok().and_then(|a| a.port_u16()).is_none() {
+        if !is_address(&discovery) {
             return Err(format!("discovery {discovery}: no address").into());
         }
         Ok(Config {
@@ -248,6 +248,11 @@
     }
 }
 
+/// Whether it names a host and a port.
+fn is_address(text: &str) -> bool {
+    text.parse::<Authority>().ok().and_then(|a| a.port_u16()).is_some()
+}
+
 fn read(path: &Path) -> Result<File, Box<dyn Error>> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
     json::from_str(&text).map_err(|_| crate::check::why::<File>(path, &text).into())
