Wait longer at each full table, and leave places in it to other forwarders

Counted over 100 forwarders, 73,772 of 85,000 tries were turned away for want of a connection (2,600 a second), 34% of the messages were given back after six tries within 0.4 s, and only 478 connections stood at once. Ruled out by the same count: refusals above a limit (116) and errors (45).

Cause: logic.rs, learn, Outcome::Crowded: the pause at a full table was 0.14 s on average however often it was met, and, unlike ConnectFailed, it did not mark its kind as one whose idle connections are scarce. Who was served kept up to three idle connections for 10 s; who was not knocked on.

Change: the pause doubles with each time that a table turns the only call away, up to the shortest aim, spread by luck; such a kind is scarce, and there an idle connection is kept for as long as a call takes there, so that all forwarders together hold about twice what is in use.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -277,7 +277,7 @@
     shed_log: Nanos,
     /// Kinds, with signs that idle connections harm there; hosts with a call ended in this round.
     scarce: BTreeSet<usize>,
-    rested: Vec<HostId>,
+    rested: BTreeSet<HostId>,
     /// Seconds without use after which a connection is taken for dropped, once one was.
     idle_limit: Option<f64>,
 }
@@ -435,7 +435,7 @@
             self.flow(dest).calls -= 1;
             if let Some(h) = self.hosts.get_mut(&sent.host) {
                 (h.calls, h.used_at) = (h.calls - 1, now);
-                self.rested.push(sent.host);
+                self.rested.insert(sent.host);
             }
         }
         self.learn(e, &sent);
@@ -509,6 +509,7 @@
                 host.suspect = host.suspect.filter(|s| !sent.mute || sent.idle < s.1);
                 host.losing.entry(sent.class).and_modify(|l| *l *= 1.0 - FAIL_GAIN);
                 route.succeeded(now);
+                host.crowds = 0;
                 host.room = host.room.map(|r| r + ROOM_GAIN / r).filter(|r| *r < self.set.slots as f64);
                 if host.answered(now, sent.sent, e.took.secs()) {
                     host.warm_up(now, luck);
@@ -533,8 +534,12 @@
             // at once go there as it takes. May hurt where another relay lets go: the room grows bit by bit.
             Outcome::Crowded => {
                 host.room = Some(f64::from(host.calls.max(1)));
+                self.scarce.insert(host.kind);
+                // Guards a full table, and a message's tries, against all relays that knock on for a place.
                 if host.calls == 0 {
-                    host.crowded_until = now + ROOM_WAIT * (SPREAD + luck);
+                    let gap = ROOM_WAIT * 2f64.powi(host.crowds.min(8) as i32);
+                    host.crowded_until = now + gap.min(self.set.least_aim()) * (SPREAD + luck);
+                    host.crowds += 1;
                 }
             }
             Outcome::ConnectFailed => {
@@ -1022,13 +1027,20 @@
     /// Guards hosts that take few connections, idle ones counted: relays that each keep one shut all others
     /// out; and where idle ones are dropped unseen. May hurt where it would soon be used again: a handshake.
     fn release(&mut self) {
+        let now = self.now;
         for id in std::mem::take(&mut self.rested) {
             let Some(h) = self.hosts.get_mut(&id) else { continue };
             let used = h.calls.div_ceil(self.set.streams.max(1));
-            if h.conns > used && self.scarce.contains(&h.kind) {
-                h.conns = used;
-                self.act.push(Action::Release(id));
+            if h.conns <= used || !self.scarce.contains(&h.kind) {
+                continue;
+            }
+            // Kept as long as a call takes, all relays together hold no more than twice what is in use.
+            if h.conns <= used + 1 && now < h.used_at + h.mean {
+                self.rested.insert(id);
+                continue;
             }
+            h.conns = used;
+            self.act.push(Action::Release(id));
         }
     }
 
@@ -1039,6 +1051,7 @@
         let review = Some(self.review_at).filter(|_| self.open > 0);
         let mut times: Vec<Nanos> = self.ask_at.into_iter().chain(review).collect();
         times.extend(self.held_until.first().map(|h| h.0 - margin));
+        times.extend(self.rested.iter().filter_map(|h| self.hosts.get(h)).map(|h| h.used_at + h.mean));
         for m in self.out.iter().filter_map(|id| self.msgs.get(id)) {
             let silence = |o: Out| o.sent + self.hosts.get(&o.host).map_or(0.0, Host::silence) + margin;
             times.extend(m.out.map(|o| [m.deadline, silence(o)]).into_iter().flatten());
--- a/src/state.rs
+++ b/src/state.rs
@@ -181,6 +181,8 @@
     /// for none.
     pub room: Option<f64>,
     pub crowded_until: Nanos,
+    /// In a row: calls turned away for want of connections while no other was out.
+    pub crowds: u32,
     /// When a call was last lost here on a connection that had been idle, and for how long in seconds.
     pub suspect: Option<(Nanos, f64)>,
     /// Seconds for which its last call's connection had been idle.
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,191 @@
+//! Many instances of the module against a few endpoints: what is harmless from one forwarder and harmful from a hundred.
+//! Time is stepped, arrivals and seeds are fixed; no test asks a clock.
+mod common;
+use common::*;
+use micaladder::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Step of the world, as long as a tick.
+const STEP: u64 = 5;
+/// Time of a call that is served, in ms.
+const CALL: u64 = 30;
+/// The client side closes a connection that has stood idle for so long (of the 10 s after which the endpoint would).
+const IDLE: u64 = 7000;
+
+/// An endpoint, as all forwarders together meet it. That of index n has id n and destination n.
+struct Endpoint {
+    /// Connections that it holds, idle ones counted.
+    table: usize,
+}
+
+/// A call that is out, and what will come of it when.
+struct Call {
+    until: u64,
+    id: u64,
+    attempt: u32,
+    host: usize,
+    outcome: Outcome,
+}
+
+/// One forwarder, its connections to each endpoint, and its calls that are out.
+struct Member {
+    relay: Relay,
+    /// Since when each idle connection has stood idle.
+    idle: Vec<Vec<u64>>,
+    used: Vec<usize>,
+    out: Vec<Call>,
+    tries: BTreeMap<u64, u32>,
+    wake: Option<Nanos>,
+}
+
+#[derive(Default)]
+struct Seen {
+    handed: usize,
+    in_time: usize,
+    calls: usize,
+    turned_away: usize,
+    handshakes: usize,
+}
+
+struct Fleet {
+    members: Vec<Member>,
+    endpoints: Vec<Endpoint>,
+    now: u64,
+    luck: u64,
+    taken: BTreeMap<u64, u64>,
+    seen: Seen,
+}
+
+impl Fleet {
+    fn new(set: &Settings, endpoints: Vec<Endpoint>) -> Fleet {
+        let list: Vec<Entry> = (0..endpoints.len()).map(|n| host(n as u32, n as u64, 0, 0)).collect();
+        let member = |n: usize| Member {
+            relay: Relay::seeded(set.clone(), list.clone(), 1 + 7919 * n as u64),
+            idle: vec![Vec::new(); list.len()],
+            used: vec![0; list.len()],
+            out: Vec::new(),
+            tries: BTreeMap::new(),
+            wake: None,
+        };
+        let members = (0..set.relays).map(member).collect();
+        let (taken, seen) = (BTreeMap::new(), Seen::default());
+        Fleet { members, endpoints, now: 0, luck: 88_172_645_463_325_252, taken, seen }
+    }
+
+    fn luck(&mut self) -> f64 {
+        self.luck ^= self.luck << 13;
+        self.luck ^= self.luck >> 7;
+        self.luck ^= self.luck << 17;
+        (self.luck >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Connections at an endpoint, of all forwarders.
+    fn held(&self, host: usize) -> usize {
+        self.members.iter().map(|m| m.idle[host].len() + m.used[host]).sum()
+    }
+
+    /// Lets time pass; `rate` messages a second come to all forwarders together.
+    fn run(&mut self, for_ms: u64, rate: f64) {
+        let mut due: VecDeque<u64> = VecDeque::new();
+        let mut at = self.now as f64;
+        while at < (self.now + for_ms) as f64 {
+            at += -(1.0 - self.luck()).ln() / rate * 1000.0;
+            due.push_back(at as u64);
+        }
+        let end = self.now + for_ms;
+        while self.now < end {
+            self.now += STEP;
+            let mut handed: Vec<Vec<u64>> = vec![Vec::new(); self.members.len()];
+            while due.front().is_some_and(|d| *d <= self.now) {
+                due.pop_front();
+                let to = (self.luck() * self.members.len() as f64) as usize;
+                self.seen.handed += 1;
+                self.taken.insert(self.seen.handed as u64, self.now);
+                handed[to].push(self.seen.handed as u64);
+            }
+            for (n, ids) in handed.into_iter().enumerate() {
+                self.step(n, &ids);
+            }
+        }
+    }
+
+    fn step(&mut self, n: usize, handed: &[u64]) {
+        let now = self.now;
+        let dests = self.endpoints.len() as f64;
+        let dests: Vec<u64> = handed.iter().map(|_| (self.luck() * dests) as u64).collect();
+        let m = &mut self.members[n];
+        m.idle.iter_mut().for_each(|host| host.retain(|since| now - since < IDLE));
+        m.relay.now = ms(1_000_000 + now);
+        let mut events: Vec<Event> =
+            handed.iter().zip(dests).map(|(id, dest)| m.relay.message(*id, SAFE, dest)).collect();
+        for Call { id, attempt, host, outcome, .. } in m.out.extract_if(.., |c| c.until <= now) {
+            if outcome == Outcome::Ok {
+                m.used[host] -= 1;
+                m.idle[host].push(now);
+                self.seen.in_time += usize::from(now - self.taken[&id] <= 2000);
+            }
+            events.push(ended(id, attempt, outcome, CALL));
+        }
+        if m.wake.is_some_and(|at| at <= m.relay.now) {
+            events.push(Event::Due);
+        }
+        if events.is_empty() {
+            return;
+        }
+        for action in m.relay.step(0, &events) {
+            match action {
+                Action::Send { id, host, .. } => self.call(n, id.0, host.0 as usize),
+                Action::Release(host) => self.members[n].idle[host.0 as usize].clear(),
+                Action::WakeAt(at) => self.members[n].wake = Some(at),
+                Action::Refuse { .. } | Action::Fail(_) | Action::Cancel { .. } => {}
+                Action::Watch | Action::Log { .. } => {}
+            }
+        }
+    }
+
+    fn call(&mut self, n: usize, id: u64, host: usize) {
+        let room = self.held(host) < self.endpoints[host].table;
+        let m = &mut self.members[n];
+        let tries = m.tries.entry(id).or_default();
+        let attempt = *tries;
+        *tries += 1;
+        self.seen.calls += 1;
+        let reused = m.idle[host].pop().is_some();
+        let (after, outcome) = if reused || room {
+            self.seen.handshakes += usize::from(!reused);
+            m.used[host] += 1;
+            (CALL, Outcome::Ok)
+        } else {
+            self.seen.turned_away += 1;
+            (STEP, Outcome::Crowded)
+        };
+        m.out.push(Call { until: self.now + after, id, attempt, host, outcome });
+    }
+}
+
+fn many(relays: usize) -> Settings {
+    Settings { relays, ..settings() }
+}
+
+/// Found on the days of a large fleet: those that were served kept their connections, and all others knocked on for a
+/// place, 2,600 times a second, until each message had used up its tries.
+#[test]
+fn a_hundred_share_tables_of_twelve_connections() {
+    // At each endpoint 100 calls a second of 30 ms keep three connections busy.
+    let endpoints = (0..6).map(|_| Endpoint { table: 12 }).collect();
+    let mut fleet = Fleet::new(&many(100), endpoints);
+    fleet.run(20_000, 600.0);
+    let seen = &fleet.seen;
+    assert!(seen.turned_away * 5 < seen.handed, "{} of {} calls", seen.turned_away, seen.calls);
+    assert!(seen.in_time * 100 >= seen.handed * 97, "{} of {} in time", seen.in_time, seen.handed);
+}
+
+/// Two forwarders fill no table, and keep the connections that they use.
+#[test]
+fn two_keep_their_connections() {
+    let mut fleet = Fleet::new(&many(2), vec![Endpoint { table: 12 }]);
+    fleet.run(20_000, 40.0);
+    let seen = &fleet.seen;
+    assert_eq!((seen.turned_away, seen.calls), (0, seen.handed));
+    assert!(seen.handshakes * 20 < seen.calls, "{} handshakes, {} calls", seen.handshakes, seen.calls);
+}
