Ask discovery in turn after a start, and with growing, jittered pauses after a fault

Counted over 100 forwarders: all 100 asked for the list within the first 0.1 s, 60 watches broke at 2.0 s, and from then on 130 to 440 asks a second were all answered 503. No list came until the end but to ten watches that had survived, and 80 to 150 connects a second went to endpoints that were gone.

Ruled out: the retries alone. Asking for the whole list in place of a watch was refused alike (a probe after each refusal, 873 of 873).

Cause: discovery.rs, run: the first ask at once, though the list that is known serves; then a fixed PAUSE of 200 ms.

Change: src/backoff.rs: a window for all forwarders of 20 asks a second for the first ask (5 s at most, 3 s after a move), then full jitter in windows that double from 200 ms up to what keeps all of them at 20 asks a second. Luck comes from the seed of the start. One forwarder alone does not wait.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -1,4 +1,5 @@
 //! The watch on discovery, which fills the upstream group.
+use crate::backoff::Backoff;
 use crate::core::Member;
 use crate::exchange::Exchange;
 use crate::settings::{GroupUpdate, Site, Target};
@@ -17,35 +18,49 @@
 /// An empty line is due every 2 s; after so long without one the watch is taken for dead.
 const SILENCE: Duration = Duration::from_millis(4500);
 const CONNECT_FOR: Duration = Duration::from_secs(1);
-const PAUSE: Duration = Duration::from_millis(200);
+/// Longest window in which all forwarders ask once, after a start and after a move. Whatever discovery has to tell
+/// counts as told 6 s after the one and 4 s after the other, whether it was asked or not.
+const START_MOST: Duration = Duration::from_secs(5);
+const MOVE_MOST: Duration = Duration::from_secs(3);
 /// A longer line is no list of this deployment.
 const LINE_MOST: usize = 4 << 20;
 
 type Fault = Box<dyn std::error::Error + Send + Sync>;
 
-/// Watches for as long as the process runs; each new watch goes on from the version last held.
-pub async fn run(site: Arc<Site>, mut rev: u64, mut address: watch::Receiver<String>, exchange: Exchange) {
+/// Watches for as long as the process runs; each new watch goes on from the version last held. `serves`: a list is
+/// known already.
+pub async fn run(
+    site: Arc<Site>, mut rev: u64, serves: bool, mut address: watch::Receiver<String>, exchange: Exchange,
+    mut again: Backoff,
+) {
+    // Guards discovery against all forwarders of a release: they start at once, and what each knows is good enough to
+    // serve from until its turn has come.
+    let mut pause = if serves { again.first(START_MOST) } else { Duration::ZERO };
     loop {
         let at = address.borrow_and_update().clone();
+        let ask = async {
+            tokio::time::sleep(pause).await;
+            watch(&at, &site, &exchange, &mut rev, &mut again).await
+        };
         tokio::select! {
-            Err(fault) = watch(&at, &site, &exchange, &mut rev) => {
-                log::warn!("discovery: {fault}; watching again after version {rev}");
+            Err(fault) = ask => {
+                pause = again.pause();
+                log::warn!(pause_ms = pause.as_millis() as u64; "discovery: {fault}; watching again after version {rev}");
             }
             // Guards against a word missed: the old place says nothing more, and the new one may count its
             // versions in another way, so it is asked for the whole list.
             Ok(()) = address.changed() => {
                 rev = 0;
-                continue;
+                again.reset();
+                pause = again.first(MOVE_MOST);
             }
         }
-        tokio::select! {
-            () = tokio::time::sleep(PAUSE) => {}
-            Ok(()) = address.changed() => rev = 0,
-        }
     }
 }
 
-async fn watch(at: &str, site: &Site, exchange: &Exchange, rev: &mut u64) -> Result<(), Fault> {
+async fn watch(
+    at: &str, site: &Site, exchange: &Exchange, rev: &mut u64, again: &mut Backoff,
+) -> Result<(), Fault> {
     let socket = timeout(CONNECT_FOR, TcpStream::connect(at)).await??;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(socket)).await?;
     tokio::spawn(connection);
@@ -64,6 +79,7 @@
         while let Some(end) = held.iter().position(|b| *b == b'\n') {
             let line: Vec<u8> = held.drain(..=end).collect();
             take(&line, site, exchange, rev);
+            again.reset();
         }
         if held.len() > LINE_MOST {
             return Err("a line without end".into());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
 
 pub mod acme;
 pub mod as2;
+pub mod backoff;
 pub mod check;
 pub mod client;
 pub mod clock;
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -224,7 +224,7 @@
         let here = concat!(env!("CARGO_MANIFEST_DIR"), "/src");
         for entry in std::fs::read_dir(here).expect("the sources").flatten() {
             let name = entry.file_name().to_string_lossy().trim_end_matches(".rs").to_string();
-            let silent = ["bin", "clock", "hints", "interface", "lib", "main", "pile", "request"];
+            let silent = ["backoff", "bin", "clock", "hints", "interface", "lib", "main", "pile", "request"];
             assert!(MODULES.contains(&name.as_str()) || silent.contains(&name.as_str()), "{name}");
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,8 +2,8 @@
 #![forbid(unsafe_code)]
 use micaladder::flags::{self, Command, Run};
 use micaladder::{
-    acme, as2, check, client, clock, core, discovery, exchange, journal, logger, neighbours, notices,
-    plugins, reload, settings, upstream,
+    acme, as2, backoff, check, client, clock, core, discovery, exchange, journal, logger, neighbours,
+    notices, plugins, reload, settings, upstream,
 };
 use std::error::Error;
 use std::process::ExitCode;
@@ -68,7 +68,9 @@
     let (moves, discovery) = tokio::sync::watch::channel(config.discovery.clone());
     tokio::spawn(reload::run(config.clone(), hangup, moves));
     tokio::spawn(notices::run(discovery.clone(), exchange.clone(), notices));
-    tokio::spawn(discovery::run(config.site.clone(), config.known.rev, discovery, exchange.clone()));
+    let again = backoff::Backoff::new(config.site.module.relays, config.seed);
+    let (rev, serves) = (config.known.rev, !config.known.targets.is_empty());
+    tokio::spawn(discovery::run(config.site.clone(), rev, serves, discovery, exchange.clone(), again));
     let seats = client::Seats::new(config.sockets / 3);
     if let Some(book) = book {
         let listener = tokio::net::TcpListener::bind(&book.listen).await?;
--- /dev/null
+++ b/tests/discovery.rs
@@ -0,0 +1,45 @@
+//! The real program and a discovery that refuses: the list that is known serves, and discovery is asked with growing
+//! pauses.
+mod stand;
+use rstest::rstest;
+use stand::*;
+
+/// How a discovery in trouble answers a watch.
+fn trouble(refuse: bool) -> Reply {
+    match refuse {
+        true => say("503 Service Unavailable", "connection: close\r\n", ""),
+        false => Reply::Cut,
+    }
+}
+
+#[rstest]
+#[case::refused(true)]
+#[case::cut_off(false)]
+fn a_discovery_in_trouble_is_asked_less_and_less_while_the_known_list_serves(#[case] refuse: bool) {
+    let (old, new) = (Server::always("200 OK"), Server::always("200 OK"));
+    let known = list(1, &[(7, old.addr)]);
+    let fresh = list(2, &[(7, new.addr)]).replace("s-0", "s-1");
+    let disco = Server::start(move |heard, number| match (heard.first.starts_with("GET"), number) {
+        (true, 0..6) => trouble(refuse),
+        (true, _) => {
+            let line = format!("{fresh}\n");
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            Reply::Hold(format!("{head}{:x}\r\n{line}\r\n", line.len()))
+        }
+        (false, _) => say("204 No Content", "", ""),
+    });
+    let daemon = setup(&disco, known).start();
+    disco.wait("a first ask", |all| !all.is_empty());
+    assert_eq!(daemon.hand_in("stats", "meanwhile"), 202);
+    old.wait_id("meanwhile");
+    daemon.wait_log("upstream group: version 2");
+    assert_eq!(daemon.hand_in("stats", "after"), 202);
+    new.wait_id("after");
+    let log = daemon.log();
+    let pauses = log.lines().filter_map(|l| l.split_once("pause_ms=")?.1.split(' ').next()?.parse().ok());
+    let pauses: Vec<u64> = pauses.collect();
+    assert_eq!(pauses.len(), 6, "{log}");
+    assert!(pauses.iter().zip(0..).all(|(p, n)| *p <= (200 << n).min(1000)), "within its window: {pauses:?}");
+    assert!(pauses.iter().any(|p| *p > 200), "the windows grow: {pauses:?}");
+    assert!(pauses.windows(2).any(|p| p[0] != p[1]), "all of a window is as likely: {pauses:?}");
+}
