Cut a pace by halves within the listed share, and take a limit up again on a cubic curve

Counted by destination and second: where a limit was overrun or lowered, 40 to 55 refused calls a second used it up, so that nothing at all was served for two to six seconds; after that the fleet took 75 calls a second where 200 came and 210 were allowed, and rose by a tenth a second for 17 s.

Cause: logic.rs, Route::refused: a pace floor of one call a second or an even share of the whole list, so that a hundred never asked for less than the listed rate; gaps of 2 s on average at the most. Route::succeeded: +10% a second.

Change: a refusal halves the pace (from the own demand or an even share, and no lower than what was just served, as far as few samples tell), down to a quarter of an even share; the first gap is that of half an even share, within the aim. Served calls bring the pace back on a cubic curve: near the level that was too much after 4 s, slow past it, then fast.

--- a/src/core/door.rs
+++ b/src/core/door.rs
@@ -105,7 +105,7 @@
             let answer = match rejects.get(id) {
                 Some(answer) => *answer,
                 None if self.take_on(*id) => {
-                    log::debug!(message = context.name, dest = context.dest; "taken on");
+                    log::debug!(message = context.name, class = context.class, dest = context.dest; "taken on");
                     Answer::Taken
                 }
                 None => {
--- a/src/hints.rs
+++ b/src/hints.rs
@@ -124,7 +124,9 @@
 
     fn paced(&mut self, now: Nanos, rate: f64) {
         if self.pace.is_none() {
-            (self.pace, self.raised_at, self.hearsay) = (Some(rate.max(PACE_LEAST)), now, true);
+            let rate = rate.max(PACE_LEAST);
+            (self.pace, self.low, self.top) = (Some(rate), rate, rate);
+            (self.low_at, self.hearsay) = (now, true);
             self.bucket.level = self.bucket.level.min(1.0);
             self.bucket.at = now;
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,10 +29,14 @@
 const REVIEW: Nanos = Nanos(1_000_000_000);
 /// Idle destinations are forgotten after this (design page).
 const FORGET: Nanos = Nanos(60_000_000_000);
-/// Pace: lowest, cut and rise a second (design page).
+/// Pace: lowest where no limit is known, and cut (design page); least part of an even share of a limit; in
+/// seconds, when it is back where it was too much; part kept of one below; most seconds a call.
 const PACE_FLOOR: f64 = 1.0;
 const PACE_CUT: f64 = 0.5;
-const PACE_RISE: f64 = 1.1;
+const PACE_LEAST: f64 = 0.25;
+const PACE_BACK: f64 = 4.0;
+const PACE_NEAR: f64 = 0.9;
+const REST_TOP: f64 = 8.0;
 /// Pace: seconds of the rate that may go at once; short, so that a burst cannot spend a limit's span.
 const BURST: f64 = 0.5;
 /// Share of the slots that calls past their silence may hold together.
@@ -65,8 +69,8 @@
 /// Part of an idle time that lost a call from which connections are taken for dropped, and its rise a second.
 const IDLE_SHARE: f64 = 0.5;
 const IDLE_RISE: f64 = 1.01;
-/// Least first wait, in seconds, after a refusal that told none; else the time of one call of an even part of
-/// the limit, within a share of the aim: that is no loss and leaves room. Doubled for each further in a row.
+/// Least first wait, in seconds, after a refusal that told none; else the time of one call at half of an even
+/// part of the limit, within the aim. Doubled for each further in a row.
 const FULL_WAIT: f64 = 0.5;
 /// Part of a keyed window that may be used for sending again; the rest covers travel and clocks.
 const WINDOW_SHARE: f64 = 0.85;
@@ -128,38 +132,48 @@
             self.bucket.fill(now, rate, (rate * BURST).max(1.0));
         }
     }
-    fn refused(&mut self, set: &Settings, now: Nanos, sent: Nanos, wait: Option<Nanos>, luck: f64) -> bool {
+    fn refused(
+        &mut self, set: &Settings, (now, sent): (Nanos, Nanos), wait: Option<Nanos>, demand: f64, luck: f64,
+    ) -> bool {
         // Guards "waits are heeded": the longest told wait stands.
         let until = wait.map_or(now, |w| now + w);
         (self.wait_until, self.own_wait) = (self.wait_until.max(until), self.own_wait.max(until));
         if sent < self.cut_at {
             return false;
         }
+        // Guards against a jam that feeds itself: refused calls may use up the limit too. Each further one
+        // halves the pace, until all relays together ask for a part of the limit.
+        let even = if self.limit > 0.0 { self.limit } else { self.listed } / set.relays.max(1) as f64;
+        let least = if even > 0.0 { (even * PACE_LEAST).max(1.0 / REST_TOP) } else { PACE_FLOOR };
+        let seen = self.served.len() as f64;
+        let own = if even > 0.0 { even.max(demand) } else { seen };
+        let was = self.pace.unwrap_or(f64::INFINITY).min(own).max(seen - seen.sqrt());
+        // What was served fits, as far as few samples tell. Refusals in a row say no more of the level.
+        if self.strikes == 0 {
+            self.top = if was < self.top * PACE_NEAR { was * PACE_NEAR } else { was }.max(least);
+        }
         self.strikes += 1;
-        // Guards against a jam that feeds itself: refused calls may use up the limit too. The gap grows until
-        // all relays together fit in; the floor is half of an even part of a told limit, where that is more.
-        let limit = if self.limit > 0.0 { self.limit } else { self.listed };
-        let even = limit / set.relays.max(1) as f64;
-        let share = if even > 0.0 { even.min(PACE_FLOOR.max(even * PACE_CUT)) } else { PACE_FLOOR };
+        self.fill(now);
+        let pace = (was * PACE_CUT).max(least);
         let part = if set.limits_told && even <= 0.0 { 0.0 } else { 1.0 / even };
-        let first = part.min(set.least_aim() * AIM_SHARE).max(FULL_WAIT);
+        let top = set.least_aim() * if even > 0.0 { 1.0 } else { AIM_SHARE };
+        let first = (part / PACE_CUT).min(top).max(FULL_WAIT);
         let gap = first * 2f64.powi(self.strikes.min(8) as i32 - 1);
         // All that were told a wait hear of the same end; luck keeps them from coming at once.
-        self.rest_until = self.wait_until + gap.min(TRIAL_TOP.max(2.0 / share)) * (SPREAD + luck);
-        self.fill(now);
-        self.pace = Some((self.served.len() as f64 * PACE_CUT).max(share));
+        self.rest_until = self.wait_until + gap.min(TRIAL_TOP.max(1.0 / pace)) * (SPREAD + luck);
+        (self.pace, self.low, self.low_at) = (Some(pace), pace, now);
         self.bucket.level = self.bucket.level.min(1.0);
-        (self.cut_at, self.raised_at, self.hearsay) = (now, now, false);
+        (self.cut_at, self.hearsay) = (now, false);
         true
     }
+    /// Soon back near the level that was too much, slow past it, fast far beyond: limits fall for a while.
     fn succeeded(&mut self, now: Nanos) {
         self.fill(now);
         self.served.push_back(now);
         self.strikes = 0;
-        if (now - self.raised_at).secs() >= 1.0 {
-            self.pace = self.pace.map(|p| p * PACE_RISE);
-            self.raised_at = now;
-        }
+        let x = (now - self.low_at).secs() / PACE_BACK - 1.0;
+        let gap = if x < 0.0 { self.top - self.low } else { self.top * (1.0 - PACE_CUT) };
+        self.pace = self.pace.map(|p| p.max(self.top + gap.max(0.0) * x.powi(3)));
     }
 }
 
@@ -215,9 +229,7 @@
             self.breaker = Breaker::Closed;
         }
         self.losing.values_mut().for_each(|l| *l *= GAIN_KEEP);
-        if now - self.used_at >= set.conn_idle {
-            self.conns = self.calls;
-        }
+        self.conns = if now - self.used_at >= set.conn_idle { self.calls } else { self.conns };
     }
 }
 
@@ -403,8 +415,7 @@
         let Some(msg) = self.msgs.get_mut(&m.id) else { return };
         (msg.tries, msg.maybe) = (past.tries, past.maybe);
         self.hold(m.id);
-        let (now, maybe) = (self.now, past.maybe);
-        self.repeat_until.extend(maybe.map(|_| (now, m.id)));
+        self.repeat_until.extend(past.maybe.map(|_| (self.now, m.id)));
         if past.tries >= self.set.most_tries {
             self.answer(m.id, 1.0);
         }
@@ -518,7 +529,9 @@
                 self.flow(dest).served += 1;
             }
             Outcome::Full(wait) => {
-                let (key, cut) = (host.route, route.refused(&self.set, now, sent.sent, wait, luck));
+                let demand = self.flows.get(&host.dest).map_or(0.0, |f| f.demand);
+                let (key, at) = (host.route, (now, sent.sent));
+                let cut = route.refused(&self.set, at, wait, demand, luck);
                 // Guards "no pushing over": so long a wait is an outage, and its end is told to all who wait.
                 if wait.is_some_and(|w| w.secs() >= SHUT_AFTER) {
                     let (opens, on) = (route.wait_until, self.hosts.values_mut().filter(|h| h.route == key));
@@ -531,11 +544,11 @@
                 }
             }
             // Guards against taking a full table of connections for a limit or an outage: only as many calls
-            // at once go there as it takes. May hurt where another relay lets go: the room grows bit by bit.
+            // at once go there as it takes. And the table against relays that knock on for a place. May hurt
+            // where another relay lets go: the room grows bit by bit.
             Outcome::Crowded => {
                 host.room = Some(f64::from(host.calls.max(1)));
                 self.scarce.insert(host.kind);
-                // Guards a full table, and a message's tries, against all relays that knock on for a place.
                 if host.calls == 0 {
                     let gap = ROOM_WAIT * 2f64.powi(host.crowds.min(8) as i32);
                     host.crowded_until = now + gap.min(self.set.least_aim()) * (SPREAD + luck);
@@ -649,18 +662,13 @@
         self.idle_limit = self.idle_limit.map(|l| l * IDLE_RISE);
         // ARR: a missed aim raises the gain, and all counts start anew.
         let aim = self.set.least_aim();
-        let mut reset = self.flows.values_mut().fold(false, |r, f| f.review(now, aim) | r);
-        if self.flows.values().any(|f| f.raised > GAIN_TOP * KAPPA) {
-            self.flows.values_mut().for_each(|f| f.raised /= 2.0);
-            reset = true;
-        }
-        if reset {
-            self.flows.values_mut().for_each(|f| f.a = 0.0);
-        }
-        let hosts = &self.hosts;
-        for f in self.flows.values_mut() {
-            f.hosts.retain(|h| hosts.get(h).is_some_and(|x| x.listed || x.calls > 0));
+        let missed = self.flows.values_mut().fold(false, |r, f| f.review(now, aim) | r);
+        let high = self.flows.values().any(|f| f.raised > GAIN_TOP * KAPPA);
+        for f in self.flows.values_mut().filter(|_| missed || high) {
+            (f.a, f.raised) = (0.0, if high { f.raised / 2.0 } else { f.raised });
         }
+        let kept = |h: &HostId| self.hosts.get(h).is_some_and(|x| x.listed || x.calls > 0);
+        self.flows.values_mut().for_each(|f| f.hosts.retain(kept));
         self.flows.retain(|_, f| !f.hosts.is_empty() || !f.held.is_empty() || f.calls > 0);
         self.lanes.retain(|_, l| !l.queue.is_empty() || l.out > 0 || l.free_at > now);
     }
@@ -761,8 +769,7 @@
                 self.shed_log = self.now + REVIEW;
                 self.log("shedding: hold is full", None);
             }
-            let changed = self.flows.get(&dest).and_then(|f| self.least(f));
-            least.insert(dest, changed);
+            least.insert(dest, self.flows.get(&dest).and_then(|f| self.least(f)));
         }
     }
 
@@ -886,9 +893,7 @@
         let (now, mut ready) = (self.now, 0);
         for (d, _, room) in &rows {
             let f = self.flow(*d);
-            if *room > 0 && !f.sendable {
-                f.open_since = now;
-            }
+            f.open_since = if *room > 0 && !f.sendable { now } else { f.open_since };
             f.sendable = *room > 0;
             f.b -= f.ready.saturating_sub(*room) as f64;
             f.ready = f.ready.min(*room);
@@ -930,8 +935,8 @@
         while self.calls.len() < self.set.slots {
             let turn = |f: &Flow| (f.a + 1.0) / (KAPPA + f.raised);
             let next = self.busy().filter(|(_, f)| f.ready > 0);
-            let next = next.min_by(|a, b| turn(a.1).total_cmp(&turn(b.1))).map(|(d, _)| *d);
-            let Some(dest) = next else { return };
+            let next = next.min_by(|a, b| turn(a.1).total_cmp(&turn(b.1)));
+            let Some(dest) = next.map(|(d, _)| *d) else { return };
             if !self.serve(dest) {
                 let f = self.flow(dest);
                 (f.b, f.ready) = (f.b - f.ready as f64, 0);
@@ -1027,20 +1032,16 @@
     /// Guards hosts that take few connections, idle ones counted: relays that each keep one shut all others
     /// out; and where idle ones are dropped unseen. May hurt where it would soon be used again: a handshake.
     fn release(&mut self) {
-        let now = self.now;
         for id in std::mem::take(&mut self.rested) {
-            let Some(h) = self.hosts.get_mut(&id) else { continue };
+            let Some(h) = self.hosts.get_mut(&id).filter(|h| self.scarce.contains(&h.kind)) else { continue };
             let used = h.calls.div_ceil(self.set.streams.max(1));
-            if h.conns <= used || !self.scarce.contains(&h.kind) {
-                continue;
-            }
             // Kept as long as a call takes, all relays together hold no more than twice what is in use.
-            if h.conns <= used + 1 && now < h.used_at + h.mean {
+            if h.conns == used + 1 && self.now < h.used_at + h.mean {
                 self.rested.insert(id);
-                continue;
+            } else if h.conns > used {
+                h.conns = used;
+                self.act.push(Action::Release(id));
             }
-            h.conns = used;
-            self.act.push(Action::Release(id));
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -123,7 +123,10 @@
     /// Served calls of the last second.
     pub served: VecDeque<Nanos>,
     pub cut_at: Nanos,
-    pub raised_at: Nanos,
+    /// To what, and when, the pace was set last; and the level that was too much.
+    pub low: f64,
+    pub low_at: Nanos,
+    pub top: f64,
     /// The limit that answers tell, in calls a second; zero if none. And what the list says of it.
     pub limit: f64,
     pub listed: f64,
