--- a/src/upstream/platform.rs
+++ b/src/upstream/platform.rs
@@ -19,6 +19,9 @@
 /// free for the next call before that is decided.
 const LINGER: Duration = Duration::from_millis(3);
 
+/// The longest wait that is heeded as it is told, in seconds: past any message's time, and short enough to be waited out.
+const WAIT_MOST: f64 = 3600.0;
+
 type Answer = Result<Response<Incoming>, Error>;
 
 /// Makes the call; dropping it closes its connection.
@@ -131,7 +134,46 @@
     Ending { outcome, over: status == StatusCode::GONE }
 }
 
+/// The wait that an answer tells. Guards against what no endpoint can mean: one that is no number, or not ahead, is
+/// none, and a longer one than an hour is an hour, or a slip would shut a partner out until the next restart.
 fn wait(headers: &HeaderMap) -> Option<Nanos> {
-    let secs: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
-    (secs.is_finite() && secs > 0.0).then(|| Nanos::from_secs(secs))
+    let said = headers.get(RETRY_AFTER)?.to_str().unwrap_or_default().trim();
+    match said.parse::<f64>() {
+        Ok(secs) if secs > WAIT_MOST => {
+            log::warn!(said; "told to wait longer than {WAIT_MOST} s: taken for that");
+            Some(Nanos::from_secs(WAIT_MOST))
+        }
+        Ok(secs) if secs > 0.0 => Some(Nanos::from_secs(secs)),
+        Ok(0.0) => None,
+        Ok(_) | Err(_) => {
+            log::warn!(said; "told to wait for no time that can be read: taken for none");
+            None
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case("0.3", Some(0.3))]
+    #[case("3600", Some(3600.0))]
+    #[case("86400", Some(WAIT_MOST))]
+    #[case("inf", Some(WAIT_MOST))]
+    #[case("1e300", Some(WAIT_MOST))]
+    #[case("0", None)]
+    #[case("-2", None)]
+    #[case("-inf", None)]
+    #[case("NaN", None)]
+    #[case("soon", None)]
+    #[case("", None)]
+    fn a_told_wait_is_bounded(#[case] said: &str, #[case] secs: Option<f64>) {
+        let mut headers = HeaderMap::new();
+        headers.insert(RETRY_AFTER, said.parse().expect("a header"));
+        assert_eq!(wait(&headers), secs.map(Nanos::from_secs));
+        let outcome = ending(StatusCode::TOO_MANY_REQUESTS, &headers).outcome;
+        assert_eq!(outcome, Outcome::Full(secs.map(Nanos::from_secs)));
+    }
 }
