Test that a hundred forwarders stay inside the budget of a returning destination

Need: the bound on trials and ramp was tested for one forwarder; what counts is the sum.

tests/fleet.rs: 100 modules at a destination that is down for 5 and for 12 s and comes back cold. What reaches it within any 1.5 s stays under the multiple of its present capacity, it is tried within two seconds of its return, and after twelve all of the demand is served.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -21,10 +21,32 @@
     listed: f64,
     /// When the calls of the last second came.
     lately: VecDeque<u64>,
+    /// From when until when it is down.
+    down: (u64, u64),
+    /// When the calls of the last `fall_after` came that did reach it, and the most of them at any time, as a part of
+    /// what would push it over.
+    pushes: VecDeque<u64>,
+    push: f64,
+}
+
+impl Endpoint {
+    /// Counts a call against what a returning destination bears: cold at its return, warm when the ramp is over.
+    fn pushed(&mut self, now: u64, set: &Settings) {
+        let span = set.fall_after.secs();
+        self.pushes.push_back(now);
+        while self.pushes.front().is_some_and(|at| now - at >= (span * 1000.0) as u64) {
+            self.pushes.pop_front();
+        }
+        let warm = (now.saturating_sub(self.down.1) as f64 / 1000.0 / set.ramp.secs()).min(1.0);
+        let share = set.cold_from + (1.0 - set.cold_from) * warm;
+        let bears = set.fall_multiple * share * self.limit as f64 * span;
+        self.push = self.push.max(self.pushes.len() as f64 / bears);
+    }
 }
 
 fn endpoint(table: usize, limit: usize) -> Endpoint {
-    Endpoint { table, limit, listed: limit as f64, lately: VecDeque::new() }
+    let (lately, pushes) = (VecDeque::new(), VecDeque::new());
+    Endpoint { table, limit, listed: limit as f64, lately, down: (0, 0), pushes, push: 0.0 }
 }
 
 /// A call that is out, and what will come of it when.
@@ -168,7 +190,13 @@
         while e.lately.front().is_some_and(|at| self.now - at >= 1000) {
             e.lately.pop_front();
         }
-        let (after, outcome) = if !reused && !room {
+        let out = (e.down.0..e.down.1).contains(&self.now);
+        if self.now >= e.down.1 && e.down.1 > 0 {
+            e.pushed(self.now, &m.relay.set);
+        }
+        let (after, outcome) = if out {
+            (STEP, Outcome::ConnectFailed)
+        } else if !reused && !room {
             self.seen.turned_away += 1;
             (STEP, Outcome::Crowded)
         } else {
@@ -254,3 +282,24 @@
         assert!(!at.is_empty(), "{relays} forwarders, rate {rate}: it goes again in its time");
     }
 }
+
+/// Where a hundred saw an outage, what they send together to the returning destination stays inside what it bears, and
+/// nobody is shut out long after it.
+#[rstest::rstest]
+#[case::short(5000)]
+#[case::long(12_000)]
+fn a_returning_destination_is_not_pushed_over_and_soon_served_by_all(#[case] outage: u64) {
+    let mut fleet = Fleet::new(&many(100), vec![endpoint(1000, 200)]);
+    fleet.endpoints[0].down = (10_000, 10_000 + outage);
+    fleet.run(10_000 + outage, 120.0);
+    let before = fleet.seen.served;
+    fleet.run(2000, 120.0);
+    assert!(fleet.seen.served > before, "it is tried in its first two seconds");
+    fleet.run(10_000, 120.0);
+    let push = fleet.endpoints[0].push;
+    assert!(push <= 1.0, "{push:.2} of what pushes it over");
+    assert!(push >= 0.2, "{push:.2}: what it bears is used");
+    let before = fleet.seen.served;
+    fleet.run(3000, 120.0);
+    assert!(fleet.seen.served - before >= 3 * 108, "{} served in three seconds", fleet.seen.served - before);
+}
