Pass over a whole list without a line, and serve from the old one

Need: a discovery that lost its list and sent an empty whole one took every endpoint away at once.

Change: discovery.rs, take: such a list is logged and passed over, and its version does not count. A list of changes without a line is usual and counts as before. tests/discovery.rs: the message is still delivered.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -94,6 +94,10 @@
         return;
     }
     match json::from_str::<GroupUpdate>(&text) {
+        // Guards against a discovery that has lost its own list: nothing could be sent at all until it has it back.
+        Ok(update) if update.all && update.targets.is_empty() => {
+            log::warn!("discovery: passed over a whole list without a line; the old one stands");
+        }
         Ok(update) => {
             *rev = update.rev;
             log::info!(lines = update.targets.len(); "upstream group: version {rev}");
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -43,3 +43,13 @@
     assert!(pauses.iter().any(|p| *p > 200), "the windows grow: {pauses:?}");
     assert!(pauses.windows(2).any(|p| p[0] != p[1]), "all of a window is as likely: {pauses:?}");
 }
+
+#[test]
+fn a_whole_list_without_a_line_leaves_the_old_one_standing() {
+    let endpoint = Server::always("200 OK");
+    let disco = discovery(list(3, &[]));
+    let daemon = setup(&disco, list(1, &[(7, endpoint.addr)])).start();
+    daemon.wait_log("the old one stands");
+    assert_eq!(daemon.hand_in("stats", "still"), 202);
+    endpoint.wait_id("still");
+}
