--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -30,8 +30,8 @@
 /// Watches for as long as the process runs; each new watch goes on from the version last held. `serves`: a list is
 /// known already.
 pub async fn run(
-    site: Arc<Site>, mut rev: u64, serves: bool, mut address: watch::Receiver<String>, exchange: Exchange,
-    mut again: Backoff,
+    site: Arc<Site>, mut rev: u64, mut serves: bool, mut address: watch::Receiver<String>,
+    exchange: Exchange, mut again: Backoff,
 ) {
     // Guards discovery against all forwarders of a release: they start at once, and what each knows is good enough to
     // serve from until its turn has come.
@@ -40,7 +40,7 @@
         let at = address.borrow_and_update().clone();
         let ask = async {
             tokio::time::sleep(pause).await;
-            watch(&at, &site, &exchange, &mut rev, &mut again).await
+            watch(&at, &site, &exchange, (&mut rev, &mut serves), &mut again).await
         };
         tokio::select! {
             Err(fault) = ask => {
@@ -59,7 +59,7 @@
 }
 
 async fn watch(
-    at: &str, site: &Site, exchange: &Exchange, rev: &mut u64, again: &mut Backoff,
+    at: &str, site: &Site, exchange: &Exchange, (rev, serves): (&mut u64, &mut bool), again: &mut Backoff,
 ) -> Result<(), Fault> {
     let socket = timeout(CONNECT_FOR, TcpStream::connect(at)).await??;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(socket)).await?;
@@ -78,7 +78,7 @@
         // A chunk may end anywhere: only whole lines are read.
         while let Some(end) = held.iter().position(|b| *b == b'\n') {
             let line: Vec<u8> = held.drain(..=end).collect();
-            take(&line, site, exchange, rev);
+            take(&line, site, exchange, (rev, serves));
             again.reset();
         }
         if held.len() > LINE_MOST {
@@ -88,18 +88,19 @@
     Err("the watch ended".into())
 }
 
-fn take(line: &[u8], site: &Site, exchange: &Exchange, rev: &mut u64) {
+fn take(line: &[u8], site: &Site, exchange: &Exchange, (rev, serves): (&mut u64, &mut bool)) {
     let text = String::from_utf8_lossy(line);
     if text.trim().is_empty() {
         return;
     }
     match json::from_str::<GroupUpdate>(&text) {
         // Guards against a discovery that has lost its own list: nothing could be sent at all until it has it back.
-        Ok(update) if update.all && update.targets.is_empty() => {
+        Ok(update) if *serves && update.all && update.targets.is_empty() => {
             log::warn!("discovery: passed over a whole list without a line; the old one stands");
         }
         Ok(update) => {
             *rev = update.rev;
+            *serves |= !update.targets.is_empty();
             log::info!(lines = update.targets.len(); "upstream group: version {rev}");
             exchange.regroup(update.all, members(site, &update));
         }
