Ask at once for a list that is pushed, in turn only where all ask one place

Checked and ruled out: the move on SIGHUP. Ruled out: a discovery that is overrun.

Cause: src/main.rs gave Backoff the number of all forwarders, whoever they ask. The settings tell the two apart: `registryMode` "pushed" (the list lies ready beside each forwarder, what it holds counts as told) and "on_request" (each ask loads one place, and nothing counts as told before `mustAskInNs`). Only the latter has a herd.

--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -24,7 +24,7 @@
 }
 
 impl Backoff {
-    /// For one of so many forwarders. One alone is no herd.
+    /// For one of so many forwarders that ask the same place. One alone is no herd.
     pub fn new(forwarders: usize, seed: u64) -> Backoff {
         let all =
             Duration::from_secs_f64((forwarders.saturating_sub(1) as f64 / ASKS).min(MOST.as_secs_f64()));
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -18,8 +18,8 @@
 /// An empty line is due every 2 s; after so long without one the watch is taken for dead.
 const SILENCE: Duration = Duration::from_millis(4500);
 const CONNECT_FOR: Duration = Duration::from_secs(1);
-/// Longest window in which all forwarders ask once, after a start and after a move. Whatever discovery has to tell
-/// counts as told 6 s after the one and 4 s after the other, whether it was asked or not.
+/// Longest window in which all that ask the same place do so once, after a start and after a move. Whatever such a
+/// discovery has to tell counts as told 6 s after the one and 4 s after the other, whether it was asked or not.
 const START_MOST: Duration = Duration::from_secs(5);
 const MOVE_MOST: Duration = Duration::from_secs(3);
 /// A longer line is no list of this deployment.
@@ -39,8 +39,8 @@
     site: Arc<Site>, mut held: Held, mut address: watch::Receiver<String>, exchange: Exchange,
     mut again: Backoff,
 ) {
-    // Guards discovery against all forwarders of a release: they start at once, and what each knows is good enough to
-    // serve from until its turn has come.
+    // Guards a discovery that all ask (`Site::askers`) against a release: they start at once, and what each knows is
+    // good enough to serve from until its turn has come.
     let mut pause = if held.serves { again.first(START_MOST) } else { Duration::ZERO };
     loop {
         let at = address.borrow_and_update().clone();
--- a/src/main.rs
+++ b/src/main.rs
@@ -68,7 +68,7 @@
     let (moves, discovery) = tokio::sync::watch::channel(config.discovery.clone());
     tokio::spawn(reload::run(config.clone(), hangup, moves));
     tokio::spawn(notices::run(discovery.clone(), exchange.clone(), notices));
-    let again = backoff::Backoff::new(config.site.module.relays, config.seed);
+    let again = backoff::Backoff::new(config.site.askers(), config.seed);
     let held = discovery::Held { rev: config.known.rev, serves: !config.known.targets.is_empty() };
     tokio::spawn(discovery::run(config.site.clone(), held, discovery, exchange.clone(), again));
     let seats = client::Seats::new(config.sockets / 3);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -193,6 +193,19 @@
     quota_rps: f64,
 }
 
+impl Site {
+    /// Forwarders that ask the same place for the list. A list that is pushed lies ready for each of them, at no cost
+    /// to the others, and what it holds counts as told from then on: who waits for a turn breaks drains meanwhile.
+    /// One that answers on request loads a place that all share.
+    pub fn askers(&self) -> usize {
+        if self.module.must_ask.is_some() {
+            self.module.relays
+        } else {
+            1
+        }
+    }
+}
+
 impl Config {
     /// What a reload cannot change while the process runs, as far as `fresh` differs in it. `seed` and `known`
     /// only count at a start.
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -3,6 +3,7 @@
 mod stand;
 use rstest::rstest;
 use stand::*;
+use std::time::{Duration, Instant};
 
 /// How a discovery in trouble answers a watch.
 fn trouble(refuse: bool) -> Reply {
@@ -49,3 +50,25 @@
     assert_eq!(daemon.hand_in("stats", "still"), 202);
     endpoint.wait_id("still");
 }
+
+/// Found on the days of 300 forwarders whose list is pushed to an agent beside each of them: what the agent held counted
+/// as told, while each waited up to five seconds for its turn to ask, and sent to endpoints that drained.
+#[rstest]
+#[case::pushed(r#""registryMode":"pushed""#, false)]
+#[case::on_request(r#""registryMode":"on_request""#, true)]
+fn one_of_300_waits_for_its_turn_only_where_all_ask_the_same_place(
+    #[case] mode: &'static str, #[case] in_turn: bool,
+) {
+    let endpoint = Server::always("200 OK");
+    let at = |rev| list(rev, &[(7, endpoint.addr)]);
+    let (disco, moved) = (discovery(at(2)), discovery(at(3)));
+    let swaps = vec![(r#""nInstances":1,"#, r#""nInstances":300,"#), (r#""registryMode":"pushed""#, mode)];
+    let begun = Instant::now();
+    let daemon = Setup { swaps, ..setup(&disco, at(1)) }.start();
+    daemon.wait_log("upstream group: version 2");
+    daemon.reload(&disco.addr.to_string(), &moved.addr.to_string());
+    daemon.wait_log("upstream group: version 3");
+    // With the seed of the stand, its two turns are 3.2 s apart from what is done at once.
+    let took = begun.elapsed();
+    assert_eq!(took > Duration::from_millis(2500), in_turn, "{took:?}");
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -204,13 +204,16 @@
     pub open_cap: u32,
     pub disk_mb: f64,
     pub sockets: u32,
+    /// Texts of the settings, and what stands in their place.
+    pub swaps: Vec<(&'static str, &'static str)>,
     pub env: Vec<(String, String)>,
     /// Words of the command line.
     pub flags: Vec<String>,
 }
 
 pub fn setup(discovery: &Server, known: String) -> Setup<'_> {
-    Setup { discovery, known, open_cap: 100, disk_mb: 3.0, sockets: 1024, env: Vec::new(), flags: Vec::new() }
+    let (swaps, env, flags) = (Vec::new(), Vec::new(), Vec::new());
+    Setup { discovery, known, open_cap: 100, disk_mb: 3.0, sockets: 1024, swaps, env, flags }
 }
 
 impl Setup<'_> {
@@ -237,13 +240,14 @@
         std::fs::create_dir_all(folder.join("state")).expect("a folder");
         let port = free_port();
         let addr: SocketAddr = ([127, 0, 0, 1], port).into();
+        let mut settings = SETTINGS.replace("OPENCAP", &self.open_cap.to_string());
+        for (from, to) in &self.swaps {
+            assert!(settings.contains(from), "the settings say {from}");
+            settings = settings.replace(from, to);
+        }
         let config = format!(
             r#"{{"name":"n0","listen":"{addr}","discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{},"disk_mb":{}}},"known":{},"settings":{}}}"#,
-            self.discovery.addr,
-            self.sockets,
-            self.disk_mb,
-            self.known,
-            SETTINGS.replace("OPENCAP", &self.open_cap.to_string())
+            self.discovery.addr, self.sockets, self.disk_mb, self.known, settings
         );
         std::fs::write(folder.join("config.json"), config).expect("its configuration");
         let (child, log) = launch(&folder, &self.env, &self.flags);
