--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -56,6 +56,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use rstest::rstest;
 
     /// Asks a second over `for_s` seconds of `many` forwarders that fail together, each ask refused at once.
     fn refused(many: usize, for_s: usize) -> Vec<usize> {
@@ -71,11 +72,14 @@
         asks
     }
 
-    #[test]
-    fn a_hundred_that_are_refused_together_thin_out() {
-        let asks = refused(100, 60);
-        assert!(asks[10..].iter().all(|a| *a < 50), "{asks:?}");
-        let mean = asks[10..].iter().sum::<usize>() / 50;
+    #[rstest]
+    #[case::of_100(100, 10)]
+    #[case::of_300(300, 30)]
+    fn many_that_are_refused_together_thin_out(#[case] many: usize, #[case] after_s: usize) {
+        let asks = refused(many, after_s + 50);
+        let later = &asks[after_s..];
+        assert!(later.iter().all(|a| *a < 50), "{asks:?}");
+        let mean = later.iter().sum::<usize>() / later.len();
         assert!((10..=40).contains(&mean), "{mean} a second: neither a flood nor silence");
     }
 
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -346,6 +346,13 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
     }
 
+    /// Bytes of memory that the process holds itself: not its program text, nor files.
+    pub fn memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("RssAnon:")).expect("a line on its memory");
+        line.trim().trim_end_matches(" kB").parse::<usize>().expect("a number") * 1024
+    }
+
     /// Lets the process have so many descriptors from now on.
     pub fn descriptors(&self, most: u32) {
         self.order("prlimit", &[&format!("--nofile={most}:1024"), "--pid"]);
