--- a/src/check.rs
+++ b/src/check.rs
@@ -8,6 +8,6 @@
     let (mut found, site) = settings::check::file(&files.config);
     found.extend(as2::check::file(&files.as2, site.as_ref()));
     found.extend(plugins::check(&files.plugins));
-    found.extend(Files::of(&files.neighbours).and_then(|f| f.read().err()));
+    found.extend(Files::of(&files.neighbours.papers).and_then(|f| f.read().err()));
     found
 }
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -32,6 +32,8 @@
     pub rev: u64,
     /// It has had a line, so that messages can be sent.
     pub serves: bool,
+    /// Where the version is told.
+    pub told: watch::Sender<u64>,
 }
 
 /// Watches for as long as the process runs; each new watch goes on from the version last held.
@@ -106,6 +108,7 @@
         }
         Ok(update) => {
             held.rev = update.rev;
+            held.told.send_replace(held.rev);
             held.serves |= !update.targets.is_empty();
             log::info!(lines = update.targets.len(); "upstream group: version {}", held.rev);
             exchange.regroup(update.all, members(site, &update));
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -30,6 +30,13 @@
     Run(Run),
     /// Reads every file that `run` would read and says what is wrong in them, by file and key; starts nothing.
     Check(Files),
+    /// Asks a running member for its view of the fleet.
+    #[command(
+        subcommand,
+        after_help = "Exit codes of show, and of watch once its output is closed: 0 all have the same view, 1 they have \
+            not (yet), 2 wrong flags or files, 3 nobody answers."
+    )]
+    Fleet(Fleet),
     /// Writes a script by which a shell completes this command line.
     Completions {
         /// The shell.
@@ -44,6 +51,8 @@
     Run(Run),
     /// Read all files and say what is wrong.
     Check(Files),
+    /// Show the fleet's view.
+    Fleet(Fleet),
     /// Write the completions of a shell.
     Completions(clap_complete::Shell),
 }
@@ -90,12 +99,19 @@
         value_delimiter = ','
     )]
     pub seeds: Vec<SocketAddr>,
-    /// Forwarders of other groups are not learned from.
-    #[arg(id = "neighbours-group", long, env = "MICALADDER_NEIGHBOURS_GROUP", default_value = "micaladder")]
-    pub group: String,
     /// About how many there are.
     #[arg(id = "neighbours-size", long, env = "MICALADDER_NEIGHBOURS_SIZE", default_value_t = 10)]
     pub size: u32,
+    #[command(flatten)]
+    pub papers: Papers,
+}
+
+/// By what forwarders of one fleet know each other.
+#[derive(Args, Debug, Clone)]
+pub struct Papers {
+    /// Forwarders of other groups are not learned from.
+    #[arg(id = "neighbours-group", long, env = "MICALADDER_NEIGHBOURS_GROUP", default_value = "micaladder")]
+    pub group: String,
     /// This forwarder's certificate, PEM.
     #[arg(
         id = "neighbours-certificate",
@@ -112,6 +128,40 @@
     pub authority: Option<PathBuf>,
 }
 
+/// Whom to ask for the fleet.
+#[derive(Args, Debug, Clone)]
+pub struct Look {
+    /// Members to ask, by the addresses on which they listen for neighbours: the first that answers.
+    #[arg(long, env = "MICALADDER_FLEET_ASK", value_name = "IP:PORT,...", value_delimiter = ',', required = true,
+        requires_all = ["neighbours-certificate", "neighbours-key", "neighbours-authority"])]
+    pub ask: Vec<SocketAddr>,
+    /// JSON, an object a line, and not a table.
+    #[arg(long)]
+    pub json: bool,
+    #[command(flatten)]
+    pub papers: Papers,
+}
+
+/// What to do with the fleet's view.
+#[derive(Subcommand, Debug)]
+pub enum Fleet {
+    /// Shows it once: who is there, since when, with which versions, and whether all have the same view.
+    Show(Look),
+    /// Shows it, and again each time that it has changed.
+    Watch {
+        #[command(flatten)]
+        look: Look,
+        /// Seconds between two questions.
+        #[arg(long, value_name = "SECONDS", default_value_t = 1.0, value_parser = pause)]
+        every: f64,
+    },
+}
+
+fn pause(text: &str) -> Result<f64, String> {
+    let secs = text.parse::<f64>().map_err(|e| e.to_string())?;
+    (0.1..=3600.0).contains(&secs).then_some(secs).ok_or("between 0.1 and 3600 seconds".into())
+}
+
 /// What a forwarder is told at its start.
 #[derive(Args, Debug, Clone)]
 pub struct Run {
@@ -176,6 +226,7 @@
     Ok(match line.command {
         Word::Run(run) => with_flags(run, matches.subcommand().map_or(&matches, |s| s.1)),
         Word::Check(files) => Command::Check(files),
+        Word::Fleet(what) => Command::Fleet(what),
         Word::Completions { shell } => Command::Completions(shell),
     })
 }
--- a/src/fleet/memory.rs
+++ b/src/fleet/memory.rs
@@ -6,13 +6,16 @@
 use super::members::Member;
 use crate::journal::Disk;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 
 const NAME: &str = "fleet";
 const FRESH: &str = "fleet.new";
 /// Raised with each form of the file that an older program cannot read.
-const FORM: u8 = 1;
+const FORM: u8 = 2;
+/// The form before it knew no agreed fleet; its life and those seen are taken over.
+const FORM_BEFORE: u8 = 1;
 /// Share of the folder for the file; while it is written there are two of it. The journal leaves three hundredths.
 const SHARE: f64 = 0.01;
 /// No larger than this, however large the folder is, in bytes: some thousand members.
@@ -38,6 +41,14 @@
     life: u64,
     /// The one that was there last stands first.
     seen: Vec<Seen>,
+    /// Names of the fleet as this member last agreed on it; none after it has said goodbye.
+    agreed: BTreeSet<String>,
+}
+
+#[derive(Deserialize)]
+struct PageBefore {
+    life: u64,
+    seen: Vec<Seen>,
 }
 
 /// The file, and what it holds.
@@ -82,15 +93,29 @@
         &self.page.seen
     }
 
-    /// Takes down who is there now. Whoever was there before stays known for a while: it may come back.
-    pub fn note(&mut self, there: &[Member], now: u64) {
+    /// Its life has risen while it runs: others knew a later one. Later starts go on from there.
+    pub fn live(&mut self, life: u64) {
+        if life > self.page.life {
+            self.page.life = life;
+            self.write();
+        }
+    }
+
+    /// The fleet as it was last agreed.
+    pub fn agreed(&self) -> &BTreeSet<String> {
+        &self.page.agreed
+    }
+
+    /// Takes down who is there now, and the fleet last agreed. Whoever was there before stays known for a while: it may
+    /// come back.
+    pub fn note(&mut self, there: &[Member], agreed: &BTreeSet<String>, now: u64) {
         let fresh = there.iter().map(|m| Seen { name: m.name.clone(), address: m.address, at: now });
         let mut seen: Vec<Seen> = fresh.collect();
         let gone = |s: &Seen| !there.iter().any(|m| m.address == s.address);
         // One that is ahead of the clock was written before the clock was set back: it counts as of now.
         let kept = self.page.seen.iter().filter(|s| gone(s) && now.saturating_sub(s.at) < AGE_MOST);
         seen.extend(kept.map(|s| Seen { at: s.at.min(now), ..s.clone() }));
-        self.page.seen = seen;
+        (self.page.seen, self.page.agreed) = (seen, agreed.clone());
         self.write();
     }
 
@@ -101,6 +126,10 @@
             self.page.seen.truncate(self.page.seen.len() * 9 / 10);
             bytes = text(&self.page);
         }
+        if bytes.len() as u64 > self.most {
+            // Without the agreed fleet it knows itself on no side; a part of it would be another fleet.
+            bytes = text(&Page { life: self.page.life, ..Page::default() });
+        }
         if bytes.len() as u64 > self.most {
             return;
         }
@@ -129,8 +158,16 @@
 fn read(bytes: &[u8]) -> Option<Page> {
     let (head, body) = bytes.split_at_checked(5)?;
     let sum = u32::from_le_bytes(head[1..].try_into().ok()?);
-    let good = head[0] == FORM && crc32fast::hash(body) == sum;
-    good.then(|| postcard::from_bytes(body).ok()).flatten()
+    let whole = crc32fast::hash(body) == sum;
+    match head[0] {
+        FORM if whole => postcard::from_bytes(body).ok(),
+        FORM_BEFORE if whole => postcard::from_bytes(body).ok().map(|PageBefore { life, seen }| Page {
+            life,
+            seen,
+            agreed: BTreeSet::new(),
+        }),
+        _ => None,
+    }
 }
 
 #[cfg(test)]
@@ -149,19 +186,49 @@
         (1..=count).map(|n| member(n, 1)).collect()
     }
 
+    fn fleet() -> BTreeSet<String> {
+        ["n0", "n1"].map(String::from).into()
+    }
+
+    /// A file of the program before this one.
+    #[test]
+    fn the_form_before_is_read() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let seen = vec![Seen { name: "n1".into(), address: member(1, 1).address, at: 9 }];
+        let body = postcard::to_stdvec(&(41u64, &seen)).expect("bytes");
+        let bytes = [&[FORM_BEFORE][..], &crc32fast::hash(&body).to_le_bytes(), &body].concat();
+        std::fs::write(folder.path().join(NAME), bytes).expect("written");
+        let mut memory = open(folder.path(), 3_000_000);
+        assert_eq!((memory.seen(), memory.agreed().len()), (&seen[..], 0));
+        assert_eq!(memory.begin(7), 42);
+    }
+
+    #[test]
+    fn the_agreed_fleet_and_a_life_that_rose_are_there_after_a_restart() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut memory = open(folder.path(), 3_000_000);
+        memory.begin(7);
+        memory.note(&members(1), &fleet(), 1);
+        memory.live(90);
+        memory.live(5);
+        let mut memory = open(folder.path(), 3_000_000);
+        assert_eq!(memory.agreed(), &fleet());
+        assert_eq!(memory.begin(1), 91);
+    }
+
     #[test]
     fn lives_rise_whatever_the_clock_says_and_who_was_there_stays_known() {
         let folder = tempfile::tempdir().expect("a folder");
         let mut memory = open(folder.path(), 3_000_000);
         assert_eq!(memory.begin(5000), 5000);
-        memory.note(&members(3), 1_000_000);
+        memory.note(&members(3), &fleet(), 1_000_000);
         let mut memory = open(folder.path(), 3_000_000);
         assert_eq!(memory.begin(10), 5001, "an earlier clock");
         assert_eq!(memory.seen().len(), 3);
         // Only one is there now, and the clock is an hour behind: the others stay known.
-        memory.note(&members(1), 1_000_000 - 3600);
+        memory.note(&members(1), &fleet(), 1_000_000 - 3600);
         assert_eq!(open(folder.path(), 3_000_000).seen().len(), 3);
-        memory.note(&members(1), 1_000_000 + AGE_MOST);
+        memory.note(&members(1), &fleet(), 1_000_000 + AGE_MOST);
         assert_eq!(open(folder.path(), 3_000_000).seen().len(), 1, "forgotten by age");
     }
 
@@ -174,7 +241,7 @@
         let folder = tempfile::tempdir().expect("a folder");
         let mut memory = open(folder.path(), 3_000_000);
         memory.begin(7);
-        memory.note(&members(3), 1);
+        memory.note(&members(3), &fleet(), 1);
         let file = folder.path().join(NAME);
         let mut bytes = std::fs::read(&file).expect("it is there");
         spoil(&mut bytes);
@@ -189,7 +256,7 @@
         let folder = tempfile::tempdir().expect("a folder");
         for (most, share) in [(3_000_000, 29_696), (100_000, 512), (20_000, 0)] {
             let mut memory = open(folder.path(), most);
-            memory.note(&members(2000), 1);
+            memory.note(&members(2000), &BTreeSet::new(), 1);
             let size = std::fs::metadata(folder.path().join(NAME)).map_or(0, |m| m.len());
             assert!(size <= share, "{size} of {share} bytes");
             assert!(share == 0 || memory.seen().first().is_some_and(|s| s.name == "n1"));
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,8 +1,15 @@
-//! The forwarders' own view of their fleet: who is there (`members`), its socket (`gossip`), and what of it outlasts a
-//! process (`memory`). Its first user is `neighbours`. Off unless that is given an address: then no socket, no byte on
-//! disk, no CPU.
+//! The forwarders' own view of their fleet. `node` is all of it without I/O: who is there (`members`), how long a silent
+//! one is only suspected (`doubts`), what each wrote of itself (`rows`), the side of a cut (`sides`). `wire` is how it
+//! looks as bytes, `view` how it is shown, `gossip` its socket, and `memory` what of it outlasts a process. Its first user
+//! is `neighbours`. Off unless that is given an address: then no socket, no byte on disk, no CPU.
 //! A package of this program and no crate: it shares the disk's bounds, the clock and the log with it, and the lab
 //! drives the library as a whole.
+pub mod doubts;
 pub mod gossip;
 pub mod members;
 pub mod memory;
+pub mod node;
+pub mod rows;
+pub mod sides;
+pub mod view;
+pub mod wire;
--- /dev/null
+++ b/src/fleet/rows.rs
@@ -0,0 +1,311 @@
+//! The table behind the view: a row for each member, with what it wrote of itself, how old that is, and what became of
+//! it. Bounded; its digest is one number for all of it. Pure.
+use super::members::{Member, MEMBERS_MOST};
+use super::wire::{Facts, Record, PARTS};
+use sha2::{Digest, Sha256};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Rows of those that are gone, beside as many of those that are there.
+pub const GONE_MOST: usize = MEMBERS_MOST;
+
+/// Records of one answer.
+const TOLD_MOST: usize = 256;
+
+/// What is known of one member. Times are of this member's clock.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Its last known life.
+    pub of: Member,
+    /// How often it has written its facts.
+    pub count: u32,
+    /// What it wrote, and when that was.
+    pub facts: Option<Facts>,
+    pub written: Duration,
+    /// It is there no more.
+    pub gone: bool,
+    /// Since when it is there, or is there no more.
+    pub since: Duration,
+    /// When it last spoke itself.
+    pub heard: Option<Duration>,
+    /// It has shown a certificate in this life: only then it counts.
+    pub shown: bool,
+    /// Hash of what must be the same in all views, and the part to which it belongs.
+    sum: u64,
+    part: usize,
+}
+
+impl Row {
+    fn new(of: Member, now: Duration) -> Row {
+        let mut row = Row {
+            of,
+            count: 0,
+            facts: None,
+            written: now,
+            gone: false,
+            since: now,
+            heard: None,
+            shown: false,
+            sum: 0,
+            part: 0,
+        };
+        row.reckon();
+        row
+    }
+
+    fn reckon(&mut self) {
+        let eight = |hash: &[u8]| hash.iter().take(8).fold(0u64, |all, byte| all << 8 | u64::from(*byte));
+        let address = self.of.address.to_string();
+        let numbers = [self.of.incarnation.to_be_bytes(), u64::from(self.count).to_be_bytes()].concat();
+        let all = Sha256::new().chain_update(&address).chain_update(numbers).chain_update(&self.of.name);
+        self.sum = eight(&all.finalize());
+        self.part = eight(&Sha256::digest(&address)) as usize % PARTS;
+    }
+
+    /// It said that it goes, before it went.
+    pub fn left(&self) -> bool {
+        self.gone && self.facts.as_ref().is_some_and(|f| f.draining)
+    }
+
+    /// As it is told to others.
+    pub fn record(&self, now: Duration) -> Record {
+        let age = now.saturating_sub(self.written).as_millis().min(u128::from(u32::MAX)) as u32;
+        Record { of: self.of.clone(), count: self.count, age, gone: self.gone, facts: self.facts.clone() }
+    }
+}
+
+/// What a record has changed.
+#[derive(Debug, PartialEq)]
+pub enum Taken {
+    /// Nothing.
+    Old,
+    /// Facts of a member that is there: worth passing on.
+    Newer,
+}
+
+/// All rows, this member's own among them.
+pub struct Rows {
+    me: SocketAddr,
+    rows: BTreeMap<SocketAddr, Row>,
+    digest: Option<u64>,
+    changes: u64,
+}
+
+impl Rows {
+    /// This member alone.
+    pub fn new(me: Member, now: Duration) -> Rows {
+        let at = me.address;
+        Rows { me: at, rows: BTreeMap::from([(at, Row::new(me, now))]), digest: None, changes: 1 }
+    }
+
+    /// This member's own row.
+    pub fn own(&self) -> &Row {
+        &self.rows[&self.me]
+    }
+
+    /// This member writes its facts, perhaps in a later life; a count that others have seen is passed over.
+    pub fn write(&mut self, now: Duration, me: &Member, facts: Facts, above: u32) {
+        let Some(own) = self.rows.get_mut(&self.me) else { return };
+        let same = own.of == *me;
+        let count = if same { own.count.max(above).saturating_add(1) } else { 1 };
+        (own.of, own.count, own.facts, own.written) = (me.clone(), count, Some(facts), now);
+        own.reckon();
+        self.changed();
+    }
+
+    /// One is there, perhaps in another life.
+    pub fn up(&mut self, now: Duration, of: &Member) {
+        let row = self.rows.entry(of.address).or_insert_with(|| Row::new(of.clone(), now));
+        if row.of != *of {
+            let heard = row.heard;
+            *row = Row { heard, ..Row::new(of.clone(), now) };
+        }
+        if row.gone {
+            (row.gone, row.since) = (false, now);
+        }
+        self.changed();
+    }
+
+    /// A life of one is over, and with it all that were before. Of those that are gone the last are kept.
+    pub fn down(&mut self, now: Duration, of: &Member) {
+        let over = |r: &Row| r.of == *of && !r.gone || r.of.incarnation < of.incarnation;
+        if let Some(row) = self.rows.get_mut(&of.address).filter(|r| over(r)) {
+            if row.of != *of {
+                *row = Row { heard: row.heard, ..Row::new(of.clone(), now) };
+            }
+            (row.gone, row.since) = (true, now);
+            self.changed();
+        }
+        if self.gone().count() > GONE_MOST {
+            let oldest = self.gone().min_by_key(|r| r.since).map(|r| r.of.address);
+            oldest.and_then(|a| self.rows.remove(&a));
+        }
+    }
+
+    /// Takes in what is told of one, where it is newer.
+    pub fn take(&mut self, now: Duration, record: &Record) -> Taken {
+        let Some(row) = self.rows.get_mut(&record.of.address).filter(|r| r.of == record.of) else {
+            return Taken::Old;
+        };
+        if record.of.address == self.me || record.count <= row.count || record.facts.is_none() {
+            return Taken::Old;
+        }
+        (row.count, row.facts) = (record.count, record.facts.clone());
+        row.written = now.saturating_sub(Duration::from_millis(u64::from(record.age)));
+        row.reckon();
+        self.changed();
+        Taken::Newer
+    }
+
+    /// It spoke itself.
+    pub fn heard(&mut self, now: Duration, from: SocketAddr) {
+        if let Some(row) = self.rows.get_mut(&from) {
+            row.heard = Some(now);
+        }
+    }
+
+    /// It has shown a certificate on a connection, in the life named.
+    pub fn shown(&mut self, who: &Member) -> bool {
+        let row = self.rows.get_mut(&who.address).filter(|r| r.of == *who && !r.gone);
+        let known = row.map(|r| r.shown = true).is_some();
+        self.changed();
+        known
+    }
+
+    fn changed(&mut self) {
+        self.digest = None;
+        self.changes += 1;
+    }
+
+    /// Rises with each change of who is there, counts, or has written what.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// The row of an address.
+    pub fn get(&self, at: SocketAddr) -> Option<&Row> {
+        self.rows.get(&at)
+    }
+
+    /// All rows, by address.
+    pub fn all(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values()
+    }
+
+    /// Those that are there, this one included.
+    pub fn there(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values().filter(|r| !r.gone)
+    }
+
+    /// Those that are gone.
+    pub fn gone(&self) -> impl Iterator<Item = &Row> {
+        self.rows.values().filter(|r| r.gone)
+    }
+
+    /// A row that is gone and not to be kept any longer.
+    pub fn forget(&mut self, at: SocketAddr) {
+        self.rows.remove(&at);
+    }
+
+    /// Names of those that are there.
+    pub fn names(&self) -> BTreeSet<String> {
+        self.there().map(|r| r.of.name.clone()).collect()
+    }
+
+    /// One number for who is there, in which life, and which facts of theirs are known.
+    pub fn digest(&mut self) -> u64 {
+        let there = self.rows.values().filter(|r| !r.gone);
+        *self.digest.get_or_insert_with(|| there.fold(0, |all, row| all ^ row.sum))
+    }
+
+    /// The same by parts.
+    pub fn parts(&self) -> Vec<u64> {
+        let mut sums = vec![0; PARTS];
+        self.there().for_each(|row| sums[row.part] ^= row.sum);
+        sums
+    }
+
+    /// What is to be told of the parts in which another view differs, from a place on that moves on each time: a long
+    /// answer that is cut short is another one next time.
+    pub fn differing(&self, now: Duration, sums: &[u64], from: usize) -> Vec<Record> {
+        let own = self.parts();
+        let mut rows: Vec<&Row> = self.rows.values().filter(|r| own[r.part] != sums[r.part]).collect();
+        rows.sort_by_key(|r| (r.part + PARTS - from) % PARTS);
+        rows.into_iter().take(TOLD_MOST).map(|row| row.record(now)).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::fleet::members::tests::{address, member};
+
+    fn rows(count: u16) -> Rows {
+        let mut rows = Rows::new(member(0, 1), Duration::ZERO);
+        (1..count).for_each(|n| rows.up(Duration::ZERO, &member(n, 1)));
+        rows
+    }
+
+    fn facts(list: u64) -> Facts {
+        Facts { list, ..Facts::default() }
+    }
+
+    #[test]
+    fn two_views_are_the_same_if_their_numbers_are() {
+        let (mut one, mut other) = (rows(3), Rows::new(member(2, 1), Duration::ZERO));
+        [1, 0].into_iter().for_each(|n| other.up(Duration::from_secs(9), &member(n, 1)));
+        assert_eq!(one.digest(), other.digest());
+        one.write(Duration::ZERO, &member(0, 1), facts(4), 0);
+        assert_ne!(one.digest(), other.digest());
+        let record = one.own().record(Duration::ZERO);
+        assert_eq!(other.take(Duration::from_secs(9), &record), Taken::Newer);
+        assert_eq!(one.digest(), other.digest());
+        other.down(Duration::from_secs(9), &member(1, 1));
+        assert_ne!(one.digest(), other.digest());
+        one.down(Duration::from_secs(3), &member(1, 1));
+        assert_eq!(one.digest(), other.digest());
+    }
+
+    #[test]
+    fn only_newer_facts_of_the_same_life_are_taken_and_none_of_its_own() {
+        let mut rows = rows(3);
+        let record = |n, life, count| Record {
+            of: member(n, life),
+            count,
+            age: 2000,
+            gone: false,
+            facts: Some(facts(u64::from(count))),
+        };
+        let now = Duration::from_secs(10);
+        assert_eq!(rows.take(now, &record(1, 1, 5)), Taken::Newer);
+        assert_eq!(rows.get(address(1)).map(|r| r.written), Some(Duration::from_secs(8)));
+        for old in [record(1, 1, 5), record(1, 1, 4), record(1, 2, 9), record(0, 1, 9), record(7, 1, 9)] {
+            assert_eq!(rows.take(now, &old), Taken::Old, "{old:?}");
+        }
+        // A later life has written nothing yet.
+        rows.up(now, &member(1, 2));
+        assert_eq!(rows.get(address(1)).and_then(|r| r.facts.clone()), None);
+    }
+
+    #[test]
+    fn parts_name_what_differs() {
+        let (one, mut other) = (rows(100), rows(100));
+        other.up(Duration::ZERO, &member(40, 2));
+        let told = other.differing(Duration::ZERO, &one.parts(), 3);
+        assert!(told.iter().any(|r| r.of == member(40, 2)));
+        assert!(told.len() < 20, "{} of 100", told.len());
+        assert!(one.differing(Duration::ZERO, &one.parts(), 0).is_empty());
+    }
+
+    #[test]
+    fn rows_of_those_that_are_gone_are_bounded() {
+        let mut rows = rows(1);
+        for n in 1..=(GONE_MOST as u16 + 9) {
+            rows.up(Duration::ZERO, &member(n, 1));
+            rows.down(Duration::from_secs(u64::from(n)), &member(n, 1));
+        }
+        assert_eq!(rows.gone().count(), GONE_MOST);
+        assert!(rows.get(address(1)).is_none() && rows.get(address(10)).is_some());
+    }
+}
--- /dev/null
+++ b/src/fleet/view.rs
@@ -0,0 +1,181 @@
+//! The view as it is shown: a table for people, JSON for programs.
+use super::sides::Side;
+use serde::{Deserialize, Serialize};
+use std::fmt::Write;
+
+/// What is known of a member's being there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// Known by hearsay; it has not spoken itself yet.
+    Joining,
+    /// It speaks.
+    Alive,
+    /// It does not answer, and has not been given up.
+    Suspect,
+    /// It was told to end and finishes what it holds.
+    Draining,
+    /// It said that it goes, and went.
+    Left,
+    /// Silent: ended or cut off, which cannot be told from here.
+    Dead,
+    /// Its name is borne by a later life elsewhere.
+    ShutOut,
+}
+
+/// One member. Spans are in seconds, and as of the moment of the view.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    pub name: String,
+    pub address: String,
+    /// The number of its life.
+    pub life: u64,
+    pub state: State,
+    /// Since when it is there, or is there no more.
+    pub for_secs: f64,
+    /// Since it last spoke to the one asked; none for that one itself, and where it never did.
+    pub heard_secs_ago: Option<f64>,
+    /// It has shown a certificate to the one asked: it counts.
+    pub counts: bool,
+    /// What it wrote of itself, and how old that is at least.
+    pub facts_secs_old: Option<f64>,
+    pub zone: String,
+    pub version: String,
+    /// Digest of its settings, and which of its life they are.
+    pub config: String,
+    pub epoch: u64,
+    pub list: u64,
+    /// Seconds since 1970 by its own clock.
+    pub started: u64,
+    pub side: Side,
+}
+
+/// The view of one member.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    /// Who was asked.
+    pub of: String,
+    /// One number for who is there, in which life, with which facts.
+    pub digest: String,
+    /// All views that the one asked has heard lately are the same as its own.
+    pub agreed: bool,
+    /// The side that it is on.
+    pub side: Side,
+    /// Members there that count, it included.
+    pub counted: usize,
+    /// Members that went without a word.
+    pub out_of_reach: usize,
+    /// How many the fleet had when it was last agreed; 0 if it never was.
+    pub last_agreed: usize,
+    pub members: Vec<Line>,
+}
+
+/// A span for people.
+fn span(secs: f64) -> String {
+    match secs {
+        s if s < 10.0 => format!("{s:.1}s"),
+        s if s < 120.0 => format!("{s:.0}s"),
+        s if s < 7200.0 => format!("{:.0}m", s / 60.0),
+        s if s < 172_800.0 => format!("{:.0}h", s / 3600.0),
+        s => format!("{:.0}d", s / 86_400.0),
+    }
+}
+
+fn word<T: Serialize>(of: &T) -> String {
+    serde_json::to_value(of).ok().and_then(|v| v.as_str().map(String::from)).unwrap_or_default()
+}
+
+impl View {
+    /// The table: a line of heads, one a member, and one on the whole.
+    pub fn table(&self) -> String {
+        let heads = [
+            "name", "address", "state", "for", "heard", "counts", "zone", "version", "config", "list",
+            "life", "facts",
+        ];
+        let mut rows = vec![heads.map(String::from)];
+        for m in &self.members {
+            let dash = |text: &str| if text.is_empty() { "-".into() } else { text.to_string() };
+            let known = m.facts_secs_old.is_some();
+            let fact = |text: String| if known { text } else { "-".into() };
+            rows.push([
+                dash(&m.name),
+                m.address.clone(),
+                word(&m.state),
+                span(m.for_secs),
+                m.heard_secs_ago.map_or("-".into(), span),
+                if m.counts { "yes" } else { "no" }.into(),
+                dash(&m.zone),
+                dash(&m.version),
+                fact(format!("{}/{}", m.config, m.epoch)),
+                fact(m.list.to_string()),
+                m.life.to_string(),
+                m.facts_secs_old.map_or("-".into(), span),
+            ]);
+        }
+        let wide = |n: usize| rows.iter().map(|r| r[n].chars().count()).max().unwrap_or(0);
+        let wide: Vec<usize> = (0..heads.len()).map(wide).collect();
+        let mut out = String::new();
+        for row in &rows {
+            let cells: Vec<String> = row.iter().zip(&wide).map(|(c, w)| format!("{c:<w$}")).collect();
+            // Writing to memory does not fail.
+            let _ = writeln!(out, "{}", cells.join("  ").trim_end());
+        }
+        let agreed = if self.agreed { "agreed" } else { "not agreed" };
+        let _ = writeln!(
+            out,
+            "seen by {}: {agreed}, digest {}, {} counted, {} out of reach, last agreed on {}, side: {}",
+            self.of,
+            self.digest,
+            self.counted,
+            self.out_of_reach,
+            self.last_agreed,
+            word(&self.side)
+        );
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_table_has_a_line_a_member_and_the_json_reads_back() {
+        let line = Line {
+            name: "n1".into(),
+            address: "127.0.0.1:1".into(),
+            life: 7,
+            state: State::ShutOut,
+            for_secs: 300.0,
+            heard_secs_ago: Some(0.25),
+            counts: true,
+            facts_secs_old: None,
+            zone: String::new(),
+            version: String::new(),
+            config: "0".into(),
+            epoch: 0,
+            list: 0,
+            started: 0,
+            side: Side::Unknown,
+        };
+        let view = View {
+            of: "n0".into(),
+            digest: "00ff".into(),
+            agreed: false,
+            side: Side::Minority,
+            counted: 2,
+            out_of_reach: 3,
+            last_agreed: 5,
+            members: vec![line],
+        };
+        let table = view.table();
+        let lines: Vec<&str> = table.lines().collect();
+        assert_eq!(lines.len(), 3);
+        assert!(lines[1].starts_with("n1    127.0.0.1:1  shut-out  5m   0.2s"), "{table}");
+        assert!(lines[2].contains(
+            "not agreed, digest 00ff, 2 counted, 3 out of reach, last agreed on 5, side: minority"
+        ));
+        let text = serde_json::to_string(&view).expect("json");
+        assert_eq!(serde_json::from_str::<View>(&text).expect("json"), view);
+    }
+}
--- /dev/null
+++ b/src/fleet/wire.rs
@@ -0,0 +1,215 @@
+//! A datagram between forwarders, as bytes, without I/O: a head, and one of a few things to say.
+//!
+//! The head is a form (1 byte), a tag of the group (4, so that two fleets which meet by mistake stay two), the digest of
+//! the sender's view (8, so that views are compared with each datagram), the side of a cut that it takes itself to be on
+//! (1) and a kind (1); all numbers big-endian. Behind it comes what foca wrote, or a record as `postcard`. What cannot be read is none of ours.
+use super::members::{Member, NAME_MOST};
+use super::sides::Side;
+use serde::{Deserialize, Serialize};
+
+/// Datagrams stay under what most networks carry in one piece.
+pub const DATAGRAM: usize = 1400;
+/// Bytes of the head.
+pub const HEAD: usize = 15;
+/// Raised with each form that an older program cannot read. Without a head, foca's own datagrams began with 0 or 1.
+const FORM: u8 = 2;
+/// A view is compared in so many parts.
+pub const PARTS: usize = 64;
+/// Bytes that a record may add to a datagram: name, facts and numbers.
+pub const RECORD_MOST: usize = 512;
+/// Longer texts of facts are cut by the one who writes them, in bytes.
+pub const TEXT_MOST: usize = 64;
+
+/// What a member says of itself. Nobody else speaks for it; a newer one carries a higher count.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Facts {
+    /// Its zone, empty where it has none.
+    pub zone: String,
+    /// Its program's version.
+    pub version: String,
+    /// Digest of its settings, and how often this life has taken up new ones.
+    pub config: u64,
+    /// Counts the settings that this life has used, from 1 on.
+    pub epoch: u64,
+    /// Version of discovery's list that it uses.
+    pub list: u64,
+    /// When it started, in seconds since 1970 by its own clock.
+    pub started: u64,
+    /// It was told to end, and finishes what it holds.
+    pub draining: bool,
+}
+
+/// What is told of one member.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Of whom.
+    pub of: Member,
+    /// How often it has written its facts.
+    pub count: u32,
+    /// How long ago it wrote them, in milliseconds; ways between members do not count.
+    pub age: u32,
+    /// This life of it is over.
+    pub gone: bool,
+    /// What it wrote, where that is known.
+    pub facts: Option<Facts>,
+}
+
+/// What may come.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Say {
+    /// Membership: foca's bytes.
+    Members(Vec<u8>),
+    /// Digests of the parts of a view; `back`: in answer to one.
+    Parts { from: Member, sums: Vec<u64>, back: bool },
+    /// Records.
+    Records { from: Member, records: Vec<Record> },
+    /// The sender has not been answered by a member, in the life named; `number` is foca's, which the member raises with
+    /// each doubt that it answers.
+    Doubt { from: Member, of: Member, number: u16 },
+}
+
+const MEMBERS: u8 = 1;
+const SUMS: u8 = 2;
+const RECORDS: u8 = 3;
+const DOUBT: u8 = 4;
+
+/// What the head says of the sender's view.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Head {
+    /// Its digest.
+    pub digest: u64,
+    /// Its side.
+    pub side: Side,
+}
+
+const SIDES: [Side; 3] = [Side::Unknown, Side::Minority, Side::Majority];
+
+/// The tag of a group.
+pub fn tag(group: &str) -> u32 {
+    crc32fast::hash(group.as_bytes())
+}
+
+/// As a datagram. Longer ones than `DATAGRAM` are the caller's to avoid.
+pub fn encode(tag: u32, head: Head, say: &Say) -> Vec<u8> {
+    let mut out = Vec::with_capacity(DATAGRAM);
+    out.push(FORM);
+    out.extend(tag.to_be_bytes());
+    out.extend(head.digest.to_be_bytes());
+    out.push(head.side as u8);
+    // Writing to memory fails for no value of these types.
+    let body = |value: Result<Vec<u8>, postcard::Error>| value.unwrap_or_default();
+    let (kind, body) = match say {
+        Say::Members(bytes) => (MEMBERS, bytes.clone()),
+        Say::Parts { from, sums, back } => (SUMS, body(postcard::to_stdvec(&(from, sums, back)))),
+        Say::Records { from, records } => (RECORDS, body(postcard::to_stdvec(&(from, records)))),
+        Say::Doubt { from, of, number } => (DOUBT, body(postcard::to_stdvec(&(from, of, number)))),
+    };
+    out.push(kind);
+    out.extend(body);
+    out
+}
+
+/// Reads a datagram of this group: the sender's view, and what it says.
+pub fn decode(own: u32, bytes: &[u8]) -> Option<(Head, Say)> {
+    if bytes.len() > DATAGRAM || bytes.len() < HEAD || bytes[0] != FORM || bytes[1..5] != own.to_be_bytes() {
+        return None;
+    }
+    let digest = u64::from_be_bytes(bytes[5..13].try_into().ok()?);
+    let head = Head { digest, side: *SIDES.get(usize::from(bytes[13]))? };
+    let body = &bytes[HEAD..];
+    let say = match bytes[14] {
+        MEMBERS => Say::Members(body.into()),
+        SUMS => {
+            let (from, sums, back): (Member, Vec<u64>, bool) = postcard::from_bytes(body).ok()?;
+            (sums.len() == PARTS).then_some(Say::Parts { from, sums, back })?
+        }
+        RECORDS => {
+            let (from, records): (Member, Vec<Record>) = postcard::from_bytes(body).ok()?;
+            records.iter().all(fits).then_some(Say::Records { from, records })?
+        }
+        DOUBT => {
+            let (from, of, number) = postcard::from_bytes(body).ok()?;
+            Say::Doubt { from, of, number }
+        }
+        _ => return None,
+    };
+    Some((head, say))
+}
+
+/// Guards the table against texts without end.
+fn fits(record: &Record) -> bool {
+    let short = |f: &Facts| f.zone.len() <= TEXT_MOST && f.version.len() <= TEXT_MOST;
+    record.of.name.len() <= NAME_MOST && record.facts.as_ref().is_none_or(short)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::fleet::members::tests::member;
+    use proptest::prelude::*;
+
+    const HEADED: Head = Head { digest: 77, side: Side::Majority };
+
+    fn says() -> Vec<Say> {
+        let facts = Facts { zone: "z1".into(), version: "0.2.0".into(), epoch: 1, ..Facts::default() };
+        let record = Record { of: member(2, 7), count: 3, age: 250, gone: false, facts: Some(facts) };
+        vec![
+            Say::Members(vec![1, 2, 3]),
+            Say::Parts { from: member(1, 1), sums: vec![u64::MAX; PARTS], back: true },
+            Say::Records { from: member(1, 1), records: vec![record] },
+            Say::Doubt { from: member(1, 1), of: member(2, 7), number: 3 },
+        ]
+    }
+
+    #[test]
+    fn what_is_said_is_read_by_its_own_group_alone() {
+        for say in says() {
+            let bytes = encode(tag("a"), HEADED, &say);
+            assert!(bytes.len() <= DATAGRAM);
+            assert_eq!(decode(tag("a"), &bytes), Some((HEADED, say)));
+            assert_eq!(decode(tag("b"), &bytes), None);
+        }
+        let mut long = encode(tag("a"), HEADED, &Say::Members(vec![0; DATAGRAM]));
+        assert_eq!(decode(tag("a"), &long), None, "too long");
+        long.truncate(DATAGRAM);
+        long[0] = FORM + 1;
+        assert_eq!(decode(tag("a"), &long), None, "of another version");
+    }
+
+    #[test]
+    fn the_longest_record_is_as_long_as_is_reckoned() {
+        let text = |n| "x".repeat(n);
+        let of = Member {
+            address: "[ffff::1]:65535".parse().expect("one"),
+            name: text(NAME_MOST),
+            incarnation: u64::MAX,
+        };
+        let facts = Facts {
+            zone: text(TEXT_MOST),
+            version: text(TEXT_MOST),
+            config: u64::MAX,
+            epoch: u64::MAX,
+            list: u64::MAX,
+            started: u64::MAX,
+            draining: true,
+        };
+        let record =
+            Record { of: of.clone(), count: u32::MAX, age: u32::MAX, gone: true, facts: Some(facts) };
+        assert!(postcard::to_stdvec(&record).expect("bytes").len() <= RECORD_MOST);
+        let two = Say::Records { from: of, records: vec![record.clone(), record] };
+        assert!(encode(1, HEADED, &two).len() <= DATAGRAM);
+    }
+
+    proptest! {
+        #[test]
+        fn noise_is_read_as_nothing_and_breaks_nothing(
+            which in 0..4usize, cut in any::<prop::sample::Index>(), noise in prop::collection::vec(any::<u8>(), 0..600),
+        ) {
+            let mut bytes = encode(tag("a"), HEADED, &says()[which]);
+            bytes.truncate(HEAD + cut.index(bytes.len() - HEAD + 1));
+            bytes.extend(&noise);
+            let _ = decode(tag("a"), &bytes);
+            prop_assert_eq!(decode(tag("a"), &noise).filter(|_| noise.first() != Some(&FORM)), None);
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 use std::error::Error;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 
 fn main() -> ExitCode {
@@ -22,6 +23,14 @@
     match command {
         Command::Run(run) => start(&run),
         Command::Check(files) => said(&check::all(&files), &files),
+        Command::Fleet(what) => {
+            let (look, every) = match &what {
+                flags::Fleet::Show(look) => (look, None),
+                flags::Fleet::Watch { look, every } => (look, Some(Duration::from_secs_f64(*every))),
+            };
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            runtime.map_or(ExitCode::FAILURE, |r| r.block_on(neighbours::look::run(look, every)))
+        }
         Command::Completions(shell) => {
             flags::complete(shell);
             ExitCode::SUCCESS
@@ -65,12 +74,14 @@
     let (exchange, exchange::Works { tries, notices, words }) = exchange::Exchange::new(core);
     exchange.regroup(true, discovery::members(&config.site, &config.known));
     tokio::spawn(upstream::run(config.site.clone(), book.clone(), exchange.clone(), tries));
-    let neighbours = neighbours::start(&said.files.neighbours, &config, &exchange);
     let (moves, discovery) = tokio::sync::watch::channel(config.discovery.clone());
+    let (told, list) = tokio::sync::watch::channel(config.known.rev);
+    let changes = neighbours::Changes { list, discovery: discovery.clone() };
+    let fleet = neighbours::start(&said.files.neighbours, &config, &exchange, changes);
     tokio::spawn(reload::run(config.clone(), hangup, moves));
     tokio::spawn(notices::run(discovery.clone(), exchange.clone(), notices));
     let again = backoff::Backoff::new(config.site.askers(), config.seed);
-    let held = discovery::Held { rev: config.known.rev, serves: !config.known.targets.is_empty() };
+    let held = discovery::Held { rev: config.known.rev, serves: !config.known.targets.is_empty(), told };
     tokio::spawn(discovery::run(config.site.clone(), held, discovery, exchange.clone(), again));
     let seats = client::Seats::new(config.sockets / 3);
     if let Some(book) = book {
@@ -95,11 +106,14 @@
     log::info!("ready: {} listens on {}", config.name, config.listen);
     terminate.recv().await;
     log::info!("told to end: finishing calls");
-    if let Some(leave) = neighbours {
-        leave.now();
+    if let Some(fleet) = &fleet {
+        fleet.drain().await;
     }
     exchange.wind_up().await;
     let _ = tokio::time::timeout(client::LAST_ANSWERS, serving).await;
+    if let Some(fleet) = &fleet {
+        fleet.leave().await;
+    }
     log::info!("ended");
     Ok(())
 }
--- a/src/neighbours/frame.rs
+++ b/src/neighbours/frame.rs
@@ -6,6 +6,7 @@
 //! passed over. All times are spans in nanoseconds.
 use crate::interface::{Nanos, News};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// What this program speaks.
 const VERSION: u8 = 1;
@@ -25,6 +26,17 @@
         name: String,
         /// Groups that meet by mistake do not teach each other.
         group: String,
+        /// Where the fleet finds it and which of its lives this is; none from one that is no member.
+        member: Option<(SocketAddr, u64)>,
+    },
+    /// From one who wants to see the fleet.
+    Look,
+    /// A part of the view, as JSON; the last one says so.
+    View {
+        /// Bytes of it.
+        part: Vec<u8>,
+        /// None comes behind it.
+        last: bool,
     },
     /// From the one who learns, over and over.
     Ping(u64),
@@ -68,6 +80,15 @@
     group: String,
 }
 
+/// Behind the fields of a hello since there is a view of the fleet; a program before that sends none of them.
+type WireMember = Option<(SocketAddr, u64)>;
+
+#[derive(Serialize, Deserialize)]
+struct WireView {
+    part: Vec<u8>,
+    last: bool,
+}
+
 #[derive(Serialize, Deserialize)]
 struct WireTold {
     ping: u64,
@@ -85,13 +106,17 @@
 const HELLO: u8 = 1;
 const PING: u8 = 2;
 const TOLD: u8 = 3;
+const LOOK: u8 = 4;
+const VIEW: u8 = 5;
 
 /// The message as a frame.
 pub fn encode(message: &Message) -> Vec<u8> {
     let payload = match message {
-        Message::Hello { name, group } => {
-            kind(HELLO, &WireHello { name: name.clone(), group: group.clone() })
+        Message::Hello { name, group, member } => {
+            kind(HELLO, &(WireHello { name: name.clone(), group: group.clone() }, member))
         }
+        Message::Look => kind(LOOK, &()),
+        Message::View { part, last } => kind(VIEW, &WireView { part: part.clone(), last: *last }),
         Message::Ping(n) => kind(PING, n),
         Message::Told(t) => {
             let items = t.items.iter().map(item).collect();
@@ -186,6 +211,13 @@
     parts
 }
 
+/// A text in parts that fit into a frame each.
+pub fn views(text: &str) -> Vec<Message> {
+    let parts: Vec<&[u8]> = text.as_bytes().chunks(ITEMS_MOST).collect();
+    let view = |(n, part): (usize, &&[u8])| Message::View { part: part.to_vec(), last: n + 1 == parts.len() };
+    parts.iter().enumerate().map(view).collect()
+}
+
 /// Makes messages of a stream of bytes, wherever it is cut. Holds one frame at the most, and what came behind it.
 #[derive(Default)]
 pub struct Reader {
@@ -242,12 +274,19 @@
     let (kind, bytes) = payload.split_first().ok_or(Fault::Garbled)?;
     match *kind {
         HELLO => {
-            let WireHello { name, group } = take(bytes)?;
+            let (WireHello { name, group }, rest) =
+                postcard::take_from_bytes(bytes).map_err(|_| Fault::Garbled)?;
+            let member: WireMember = if rest.is_empty() { None } else { take(rest)? };
             match name.len().max(group.len()) > NAME_MOST {
                 true => Err(Fault::Garbled),
-                false => Ok(Some(Message::Hello { name, group })),
+                false => Ok(Some(Message::Hello { name, group, member })),
             }
         }
+        LOOK => Ok(Some(Message::Look)),
+        VIEW => {
+            let WireView { part, last } = take(bytes)?;
+            Ok(Some(Message::View { part, last }))
+        }
         PING => Ok(Some(Message::Ping(take(bytes)?))),
         TOLD => {
             let WireTold { ping, held, whole, items } = take(bytes)?;
@@ -282,7 +321,15 @@
         let item = item.prop_map(|(uid, news, age)| Item { uid, news, age: Nanos(age) });
         let told = (any::<u64>(), any::<u64>(), any::<bool>(), prop::collection::vec(item, 0..20));
         prop_oneof![
-            ("[a-z]{0,20}", "[a-z]{0,20}").prop_map(|(name, group)| Message::Hello { name, group }),
+            ("[a-z]{0,20}", "[a-z]{0,20}", prop::option::of(any::<(u16, u64)>())).prop_map(
+                |(name, group, m)| {
+                    let member = m.map(|(port, life)| (([127, 0, 0, 1], port).into(), life));
+                    Message::Hello { name, group, member }
+                }
+            ),
+            Just(Message::Look),
+            (prop::collection::vec(any::<u8>(), 0..99), any::<bool>())
+                .prop_map(|(part, last)| Message::View { part, last }),
             any::<u64>().prop_map(Message::Ping),
             told.prop_map(|(ping, held, whole, items)| {
                 Message::Told(Told { ping, held: Nanos(held), whole, items })
@@ -331,11 +378,12 @@
 
     #[test]
     fn what_is_not_known_is_passed_over() {
-        let hello = Message::Hello { name: "n1".into(), group: "g".into() };
+        let hello = Message::Hello { name: "n1".into(), group: "g".into(), member: None };
         let mut reader = Reader::default();
         reader.push(&frame(VERSION + 1, b"a later version"));
         reader.push(&frame(VERSION, &[99, 1, 2, 3]));
-        reader.push(&encode(&hello));
+        // Of a program that knows no view of the fleet.
+        reader.push(&frame(VERSION, &kind(HELLO, &WireHello { name: "n1".into(), group: "g".into() })));
         // A field behind those that are known.
         let mut longer = kind(PING, &7u64);
         longer.extend([1, 2, 3]);
--- a/src/neighbours/link.rs
+++ b/src/neighbours/link.rs
@@ -5,12 +5,16 @@
 use super::own::Own;
 use super::tell::Telling;
 use crate::clock;
+use crate::fleet::gossip::Fleet;
+use crate::fleet::members::Member;
+use crate::fleet::view::View;
 use crate::interface::Nanos;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::watch;
-use tokio::time::{interval, timeout, Instant, MissedTickBehavior};
+use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
 
 /// A side that says nothing for so long is taken for dead.
 const SILENCE: Duration = Duration::from_secs(3);
@@ -24,6 +28,8 @@
 const BEAT: Duration = Duration::from_millis(500);
 /// After so long a connection is made anew, so that a certificate that has ended does not live on in an old one.
 const LIFE: Duration = Duration::from_secs(600);
+/// A longer view is none of a fleet: some 500 bytes a member, and as many that are gone as are there.
+const VIEW_MOST: usize = 4 << 20;
 /// What a teacher may send: so many bytes at once, and a second. A thousand endpoints in a bad minute are a tenth.
 const BYTES_AT_ONCE: f64 = 2e6;
 const BYTES_A_SECOND: f64 = 256e3;
@@ -44,12 +50,30 @@
     pub name: String,
     /// Its group.
     pub group: String,
+    /// Its part in the fleet; none for one that only looks.
+    pub fleet: Option<Fleet>,
 }
 
 impl Me {
     fn hello(&self) -> Vec<u8> {
-        frame::encode(&Message::Hello { name: self.name.clone(), group: self.group.clone() })
+        let me = self.fleet.as_ref().and_then(|f| f.known.borrow().me.clone());
+        let member = me.map(|m| (m.address, m.incarnation));
+        frame::encode(&Message::Hello { name: self.name.clone(), group: self.group.clone(), member })
     }
+
+    /// The other side stands behind its certificate: it counts in the fleet.
+    async fn met(&self, peer: &Peer) {
+        if let (Some(fleet), Some((address, incarnation))) = (&self.fleet, peer.member) {
+            fleet.shown(Member { address, name: peer.name.clone(), incarnation }).await;
+        }
+    }
+}
+
+/// What the other side says of itself.
+#[derive(Debug, PartialEq)]
+struct Peer {
+    name: String,
+    member: Option<(SocketAddr, u64)>,
 }
 
 /// Reads what comes, bounded in time and in bytes.
@@ -90,9 +114,9 @@
         }
     }
 
-    async fn hello(&mut self, me: &Me) -> Result<String, End> {
+    async fn hello(&mut self, me: &Me) -> Result<Peer, End> {
         match timeout(HELLO_BY, self.next()).await {
-            Ok(Ok(Message::Hello { name, group })) if group == me.group => Ok(name),
+            Ok(Ok(Message::Hello { name, group, member })) if group == me.group => Ok(Peer { name, member }),
             Ok(Ok(Message::Hello { group, .. })) => Err(End::Shun(format!("of another group: {group}"))),
             Ok(Ok(_)) => Err(End::Shun("no hello".into())),
             Ok(Err(end)) => Err(end),
@@ -119,7 +143,8 @@
     let run = async {
         let peer = hearing.hello(me).await?;
         write(&mut write_to, &me.hello()).await?;
-        log::debug!(neighbour = peer; "teaching");
+        me.met(&peer).await;
+        log::debug!(neighbour = peer.name; "teaching");
         let mut telling = Telling::default();
         // The number of the last ping, and when it came.
         let (mut ping, mut whole) = ((0, clock::now()), true);
@@ -143,7 +168,21 @@
                 tokio::select! {
                     message = hearing.next() => match message? {
                         Message::Ping(n) => (ping, heard) = ((n, clock::now()), Instant::now()),
-                        Message::Hello { .. } | Message::Told(_) => return Err(End::Shun("speaks out of turn".into())),
+                        Message::Look => {
+                            let view = match &me.fleet {
+                                Some(fleet) => fleet.view().await,
+                                None => None,
+                            };
+                            let view = view.ok_or_else(|| End::Over("this forwarder has left".into()))?;
+                            let text = serde_json::to_string(&view).map_err(|e| End::Over(e.to_string()))?;
+                            for part in frame::views(&text) {
+                                write(&mut write_to, &frame::encode(&part)).await?;
+                            }
+                            heard = Instant::now();
+                        }
+                        Message::Hello { .. } | Message::Told(_) | Message::View { .. } => {
+                            return Err(End::Shun("speaks out of turn".into()));
+                        }
                     },
                     changed = own.changed() => match changed {
                         Ok(()) => break,
@@ -172,7 +211,8 @@
         let began = Instant::now();
         write(&mut write_to, &me.hello()).await?;
         let peer = hearing.hello(me).await?;
-        log::info!(neighbour = peer; "learning from a neighbour");
+        me.met(&peer).await;
+        log::info!(neighbour = peer.name; "learning from a neighbour");
         let mut pings: VecDeque<(u64, Instant)> = VecDeque::from([(0, began)]);
         let mut ticks = interval(PING);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -183,7 +223,7 @@
                     heard = Instant::now();
                     let told = match message? {
                         Message::Told(told) => told,
-                        Message::Hello { .. } | Message::Ping(_) => {
+                        Message::Hello { .. } | Message::Ping(_) | Message::Look | Message::View { .. } => {
                             return Err(End::Shun("speaks out of turn".into()));
                         }
                     };
@@ -208,6 +248,49 @@
     ended.err().unwrap_or(End::Over(String::new()))
 }
 
+/// Shows this one's certificate to another and sees the other's, and no more.
+pub async fn meet<S: AsyncRead + AsyncWrite>(stream: S, me: &Me) -> Result<(), End> {
+    let (read, mut write_to) = tokio::io::split(stream);
+    write(&mut write_to, &me.hello()).await?;
+    let peer = Hearing::new(read).hello(me).await?;
+    me.met(&peer).await;
+    Ok(())
+}
+
+/// Asks for the other side's view of the fleet, with a pause between, for as long as `take` wants more.
+pub async fn look<S: AsyncRead + AsyncWrite>(
+    stream: S, me: &Me, mut take: impl FnMut(View) -> bool, pause: Duration,
+) -> Result<(), End> {
+    let (read, mut write_to) = tokio::io::split(stream);
+    let mut hearing = Hearing::new(read);
+    write(&mut write_to, &me.hello()).await?;
+    hearing.hello(me).await?;
+    loop {
+        write(&mut write_to, &frame::encode(&Message::Look)).await?;
+        let whole = async {
+            let mut text = Vec::new();
+            loop {
+                // What it teaches meanwhile is not for one that looks.
+                if let Message::View { part, last } = hearing.next().await? {
+                    text.extend(part);
+                    if text.len() > VIEW_MOST {
+                        return Err(End::Shun("a view without end".into()));
+                    }
+                    if last {
+                        return Ok(text);
+                    }
+                }
+            }
+        };
+        let text = timeout(SILENCE, whole).await.map_err(|_| End::Over("silent".into()))??;
+        let view = serde_json::from_slice(&text).map_err(|e| End::Shun(format!("no view: {e}")))?;
+        if !take(view) {
+            return Ok(());
+        }
+        sleep(pause).await;
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -218,7 +301,7 @@
     use tokio::io::{duplex, DuplexStream};
 
     fn me() -> Me {
-        Me { name: "n0".into(), group: "g".into() }
+        Me { name: "n0".into(), group: "g".into(), fleet: None }
     }
 
     fn item(uid: &str, news: News) -> Item {
@@ -238,7 +321,7 @@
     }
 
     fn hello(group: &str) -> Vec<u8> {
-        frame::encode(&Message::Hello { name: "n1".into(), group: group.into() })
+        frame::encode(&Message::Hello { name: "n1".into(), group: group.into(), member: None })
     }
 
     /// A scripted teacher: says its bytes and then closes, or holds the connection open. Gives what was learned.
@@ -347,7 +430,7 @@
         tokio::spawn(async move { learn(near, &me(), |way, told| drop(tell.send((way, told)))).await });
         let (mut read, mut write) = tokio::io::split(far);
         let mut hearing = Hearing::new(&mut read);
-        assert_eq!(hearing.hello(&me()).await, Ok("n0".into()));
+        assert_eq!(hearing.hello(&me()).await, Ok(Peer { name: "n0".into(), member: None }));
         write.write_all(&hello("g")).await.expect("written");
         let ping = loop {
             if let Ok(Message::Ping(n)) = hearing.next().await {
--- /dev/null
+++ b/src/neighbours/look.rs
@@ -0,0 +1,79 @@
+//! `micaladder fleet`: asks a member for its view of the fleet, on the connection that members use and with a certificate
+//! of the same kind.
+use super::dial::Dial;
+use super::link::{self, End, Me};
+use super::trust::{Files, Trust};
+use crate::flags;
+use crate::fleet::view::View;
+use std::io::Write;
+use std::net::{IpAddr, Ipv4Addr};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How a look at the fleet ends: 0 and 1 say whether the view was agreed.
+const WRONG_FLAGS: u8 = 2;
+const NOBODY: u8 = 3;
+
+/// What of a view is news to one who watches: not its ages.
+fn gist(view: &View) -> impl PartialEq {
+    let lines = view.members.iter().map(|m| {
+        (m.name.clone(), m.address.clone(), m.life, m.state, m.counts, m.config.clone(), m.list, m.epoch)
+    });
+    (view.of.clone(), view.digest.clone(), view.agreed, view.side, lines.collect::<Vec<_>>())
+}
+
+fn text(view: &View, json: bool) -> String {
+    match json {
+        // Writing it to memory fails for no view.
+        true => serde_json::to_string(view).unwrap_or_default() + "\n",
+        false => view.table(),
+    }
+}
+
+/// Shows the fleet once, or each time that it has changed.
+pub async fn run(flags: &flags::Look, watch: Option<Duration>) -> ExitCode {
+    let trust = match Files::of(&flags.papers).map(Trust::new) {
+        Some(Ok(trust)) => Arc::new(trust),
+        Some(Err(fault)) => {
+            eprintln!("{fault}");
+            return ExitCode::from(WRONG_FLAGS);
+        }
+        None => return ExitCode::from(WRONG_FLAGS),
+    };
+    let me = Me { name: "fleet".into(), group: flags.papers.group.clone(), fleet: None };
+    let dial = Dial { from: IpAddr::V4(Ipv4Addr::UNSPECIFIED), trust, me };
+    let (mut last, mut agreed) = (None, None);
+    let mut shut = false;
+    loop {
+        let mut why = Vec::new();
+        let before = agreed;
+        for at in &flags.ask {
+            let take = |view: View| {
+                let fresh = gist(&view);
+                if last.as_ref() != Some(&fresh) {
+                    // A pipe that is closed wants no more.
+                    shut = std::io::stdout().write_all(text(&view, flags.json).as_bytes()).is_err();
+                }
+                (last, agreed) = (Some(fresh), Some(view.agreed));
+                watch.is_some() && !shut
+            };
+            let asked =
+                async { link::look(dial.to(*at).await?, &dial.me, take, watch.unwrap_or_default()).await };
+            match asked.await {
+                Ok(()) => break,
+                Err(End::Over(e) | End::Shun(e)) => why.push(format!("{at}: {e}")),
+            }
+        }
+        let ends = watch.is_none() || shut || agreed.is_none();
+        if !why.is_empty() && (agreed == before || watch.is_some()) {
+            why.iter().for_each(|w| eprintln!("{w}"));
+        }
+        match agreed {
+            _ if !ends => tokio::time::sleep(watch.unwrap_or_default()).await,
+            Some(true) => return ExitCode::SUCCESS,
+            Some(false) => return ExitCode::FAILURE,
+            None => return ExitCode::from(NOBODY),
+        }
+    }
+}
--- a/src/neighbours/mod.rs
+++ b/src/neighbours/mod.rs
@@ -2,8 +2,11 @@
 //! and what counts of it (`weigh`). Here are the sockets and the tasks. Nothing of the forwarder waits for any of it:
 //! what is learned comes as an input of a moment like all else. Off unless it is given an address to listen on.
 //! `docs/design/neighbours.md` says why it is as it is, `docs/operate/neighbours.md` how to run it.
+pub mod dial;
 pub mod frame;
 pub mod link;
+pub mod look;
+pub mod meet;
 pub mod own;
 pub mod teachers;
 pub mod tell;
@@ -13,24 +16,27 @@
 use crate::clock;
 use crate::exchange::Exchange;
 use crate::flags;
-use crate::fleet::gossip::{self, Leave};
-use crate::fleet::members::{Member, Members};
+use crate::fleet::gossip::{self, Fleet};
+use crate::fleet::members::{Member, NAME_MOST};
 use crate::fleet::memory::Memory;
+use crate::fleet::node::{Node, Setup};
+use crate::fleet::wire::{Facts, TEXT_MOST};
 use crate::interface::Nanos;
 use crate::journal;
 use crate::settings::Config;
+use dial::Dial;
 use frame::Item;
 use link::{End, Me};
 use own::Own;
 use std::collections::BTreeMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use teachers::Teachers;
-use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch, Semaphore};
 use tokio::time::{interval, sleep, timeout, Instant};
-use tokio_rustls::{TlsAcceptor, TlsConnector};
+use tokio_rustls::TlsAcceptor;
 use trust::Trust;
 use weigh::Weigh;
 
@@ -38,30 +44,65 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Neighbours that are taught at once; more are turned away, and find others.
 const LEARNERS: usize = 64;
-const CONNECT_FOR: Duration = Duration::from_secs(1);
 /// Messages of neighbours that wait to be weighed; a reader waits while there are more.
 const WAITING: usize = 256;
 
-/// Starts all of it; returns at once, with the way to say goodbye. What cannot be started is logged, and the forwarder
+/// What changes while the process runs and is told to the fleet.
+pub struct Changes {
+    /// Version of discovery's list.
+    pub list: watch::Receiver<u64>,
+    /// Where discovery is: what a reload can change.
+    pub discovery: watch::Receiver<String>,
+}
+
+/// Starts all of it; returns at once, with the way to the fleet. What cannot be started is logged, and the forwarder
 /// goes on without.
-pub fn start(flags: &flags::Neighbours, config: &Config, exchange: &Exchange) -> Option<Leave> {
+pub fn start(
+    flags: &flags::Neighbours, config: &Config, exchange: &Exchange, changes: Changes,
+) -> Option<Fleet> {
     let listen = flags.listen?;
     let off = |why: &dyn std::fmt::Display| log::error!("neighbours are off: {why}");
-    let Some(files) = trust::Files::of(flags) else {
+    let Some(files) = trust::Files::of(&flags.papers) else {
         off(&"they need a certificate, a key and an authority");
         return None;
     };
     let trust = Arc::new(Trust::new(files).inspect_err(|e| off(e)).ok()?);
     let disk = journal::on(&config.state).inspect_err(|e| off(e)).ok()?;
-    let (name, seed) = (&config.name, config.seed);
+    let (name, seed) = (config.name.clone(), config.seed);
+    if name.len() > NAME_MOST {
+        off(&format_args!("a name of {} bytes, of {NAME_MOST} at the most", name.len()));
+        return None;
+    }
     // What stands on disk is raised; the clock is asked only where there is nothing, and above all that was there.
     let mut memory = Memory::open(disk, config.disk);
-    let incarnation = memory.begin(clock::now().0 / 1_000_000);
-    let (leave, leaving) = Leave::new();
-    let me = Me { name: name.to_string(), group: flags.group.clone() };
+    let started = clock::now();
+    let incarnation = memory.begin(started.0 / 1_000_000);
+    let (fleet, wishes) = Fleet::new();
+    let me = Me { name: name.clone(), group: flags.papers.group.clone(), fleet: Some(fleet.clone()) };
     let address = flags.advertise.unwrap_or(listen);
-    let member = Member { address, name: name.to_string(), incarnation };
-    let (seeds, size, exchange) = (flags.seeds.clone(), flags.size, exchange.clone());
+    let mut facts = Facts {
+        zone: config.site.zones.get(config.site.module.zone).cloned().unwrap_or_default(),
+        version: env!("CARGO_PKG_VERSION").into(),
+        config: config.digest() ^ discovery_at(&config.discovery),
+        epoch: 1,
+        list: *changes.list.borrow(),
+        started: started.0 / 1_000_000_000,
+        ..Facts::default()
+    };
+    let cut = (0..=TEXT_MOST.min(facts.zone.len())).rfind(|n| facts.zone.is_char_boundary(*n));
+    facts.zone.truncate(cut.unwrap_or(0));
+    let setup = Setup {
+        me: Member { address, name, incarnation },
+        group: flags.papers.group.clone(),
+        size: flags.size,
+        seed,
+        seeds: flags.seeds.clone(),
+        remembered: memory.seen().iter().map(|s| s.address).collect(),
+        agreed: memory.agreed().clone(),
+        facts: facts.clone(),
+    };
+    let (seeds, exchange, known, way) =
+        (flags.seeds.clone(), exchange.clone(), fleet.known.clone(), fleet.clone());
     tokio::spawn(async move {
         let sockets = async { Ok((UdpSocket::bind(listen).await?, TcpListener::bind(listen).await?)) };
         let (datagrams, listener): (UdpSocket, TcpListener) = match sockets.await {
@@ -73,16 +114,40 @@
         };
         log::info!("neighbours: listening on {listen}");
         let (own_in, own) = watch::channel(Own::default());
-        let (there_in, there) = watch::channel(Vec::new());
         let (learned_in, learned) = mpsc::channel(WAITING);
         tokio::spawn(look(exchange.clone(), own_in));
         tokio::spawn(weigh_all(exchange, learned));
         tokio::spawn(teach_all(listener, trust.clone(), me.clone(), own));
-        let members = Members::new(member, size, seed);
-        tokio::spawn(gossip::run(datagrams, members, memory, seeds.clone(), there_in, leaving));
-        learn_all(Teachers::new(address, seeds, seed), trust, (me, listen.ip()), there, learned_in).await;
+        let began = Instant::now();
+        tokio::spawn(gossip::run(datagrams, Node::new(setup, Duration::ZERO), began, memory, wishes));
+        tokio::spawn(write_all(way, facts, changes));
+        let dial = Dial { from: listen.ip(), trust, me };
+        tokio::spawn(meet::all(dial.clone(), known, seed));
+        learn_all(Teachers::new(address, seeds, seed), dial, learned_in).await;
     });
-    Some(leave)
+    Some(fleet)
+}
+
+fn discovery_at(address: &str) -> u64 {
+    u64::from(crc32fast::hash(address.as_bytes()))
+}
+
+/// Tells the fleet what changes here.
+async fn write_all(fleet: Fleet, mut facts: Facts, mut changes: Changes) {
+    let settings = facts.config ^ discovery_at(&changes.discovery.borrow_and_update());
+    loop {
+        facts.list = *changes.list.borrow_and_update();
+        fleet.write(facts.clone()).await;
+        tokio::select! {
+            Ok(()) = changes.list.changed() => {}
+            Ok(()) = changes.discovery.changed() => {
+                // All else of the settings stands until a restart.
+                facts.config = settings ^ discovery_at(&changes.discovery.borrow_and_update());
+                facts.epoch += 1;
+            }
+            else => return,
+        }
+    }
 }
 
 /// Keeps what this forwarder has seen itself at hand, while somebody wants to know.
@@ -156,10 +221,7 @@
 }
 
 /// Learns from some of those that are there, for as long as the process runs.
-async fn learn_all(
-    mut teachers: Teachers, trust: Arc<Trust>, (me, from_ip): (Me, IpAddr),
-    there: watch::Receiver<Vec<Member>>, learned: mpsc::Sender<Learned>,
-) {
+async fn learn_all(mut teachers: Teachers, dial: Dial, learned: mpsc::Sender<Learned>) {
     let began = Instant::now();
     let (ended_in, mut ended) = mpsc::unbounded_channel();
     // One line for each that is shunned, not one for each try.
@@ -187,48 +249,25 @@
                 teachers.ended(now(), who, pause);
             },
         }
-        let chosen = teachers.choose(now(), &there.borrow());
+        let there = dial.me.fleet.as_ref().map(|f| f.known.borrow().clone()).unwrap_or_default();
+        let chosen = teachers.choose(now(), &there.there);
         for who in chosen {
             next += 1;
-            let (client, me, learned, ended) =
-                (trust.sides().client, me.clone(), learned.clone(), ended_in.clone());
+            let (dial, learned, ended) = (dial.clone(), learned.clone(), ended_in.clone());
             let from = next;
             tokio::spawn(async move {
-                let end = learn_from((from_ip, who), from, TlsConnector::from(client), &me, &learned).await;
+                let end = match dial.to(who).await {
+                    Ok(stream) => {
+                        link::learn(stream, &dial.me, |way, told| {
+                            // Where weighing is behind, news is dropped; what counts is told again.
+                            let _ = learned.try_send(Learned { from, way, items: told.items });
+                        })
+                        .await
+                    }
+                    Err(end) => end,
+                };
                 let _ = ended.send((who, end));
             });
         }
     }
 }
-
-async fn learn_from(
-    (from_ip, who): (IpAddr, SocketAddr), from: weigh::Neighbour, tls: TlsConnector, me: &Me,
-    learned: &mpsc::Sender<Learned>,
-) -> End {
-    let connect = async {
-        // From the address that it listens on, as its datagrams: who filters by address knows it by one.
-        let socket = if who.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-        if !from_ip.is_unspecified() && from_ip.is_ipv4() == who.is_ipv4() {
-            socket.bind((from_ip, 0).into())?;
-        }
-        let socket = socket.connect(who).await?;
-        let _ = socket.set_nodelay(true);
-        Ok::<_, std::io::Error>(socket)
-    };
-    let socket = match timeout(CONNECT_FOR, connect).await {
-        Ok(Ok(socket)) => socket,
-        Ok(Err(e)) => return End::Over(e.to_string()),
-        Err(_) => return End::Over("no connection in time".into()),
-    };
-    let stream = match timeout(link::HELLO_BY, tls.connect(trust::server_name(), socket)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) if e.kind() == std::io::ErrorKind::InvalidData => return End::Shun(e.to_string()),
-        Ok(Err(e)) => return End::Over(e.to_string()),
-        Err(_) => return End::Over("a handshake without end".into()),
-    };
-    link::learn(stream, me, |way, told| {
-        // Where weighing is behind, news is dropped; what counts is told again.
-        let _ = learned.try_send(Learned { from, way, items: told.items });
-    })
-    .await
-}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 use crate::{Class, Effect, Fade, Group, Kind, Nanos, Settings, Weights};
 use hyper::http::uri::Authority;
 use miniserde::{json, Deserialize};
+use sha2::{Digest, Sha256};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -237,6 +238,16 @@
         Config::new(self.path.clone(), self.state.clone(), read(&self.path)?, self.before.clone())
     }
 
+    /// One number for the settings that all forwarders of a site share, whatever the order and form in which the file has
+    /// them; 0 where the file cannot be read any more.
+    pub fn digest(&self) -> u64 {
+        let text = std::fs::read_to_string(&self.path).unwrap_or_default();
+        let file: Option<serde_json::Value> = serde_json::from_str(&text).ok();
+        let shared = file.as_ref().and_then(|f| f.get("settings"));
+        let hash = shared.map(|s| Sha256::digest(s.to_string()));
+        hash.and_then(|h| Some(u64::from_be_bytes(*h.first_chunk()?))).unwrap_or(0)
+    }
+
     fn new(path: PathBuf, state: PathBuf, file: File, before: Before) -> Result<Config, Box<dyn Error>> {
         let kept = before.clone();
         let listen = before.listen.unwrap_or(file.listen);
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -242,6 +242,8 @@
             let mut flags = fleet.authority.flags(&name, (*ip, REAL).into(), &seeds);
             flags.push(format!("--neighbours-advertise={}", fleet.fronts[n]));
             flags.push(format!("--neighbours-size={count}"));
+            // The view is read from the log.
+            flags.push("--log-burst=0".into());
             let listen = Some((*ip, CLIENTS).into());
             let setup = Setup { flags, listen, ..setup(&fleet.disco, list(1, &[])) };
             fleet.members.push(setup.start_anyhow());
