Choose teachers and visits by one piece of code, and let a node write its own row in one place

Found in reading the change again: visits and teachers each had their own table of whom to leave alone (now neighbours::turns); a node wrote its own row in three places, picked others in two, and had a second word for a side; names, standing, Taken and two results that nobody used go. A certificate shown again is no change of the rows any more: each connection of a learner had them looked at anew. The condition for printing faults in fleet show is the same, said shorter.

--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -134,7 +134,7 @@
             }
             wish = wishes.recv() => match wish {
                 Some(Wish::View(answer)) => drop(answer.send(node.view(began.elapsed()))),
-                Some(Wish::Shown(who)) => drop(node.shown(began.elapsed(), &who)),
+                Some(Wish::Shown(who)) => node.shown(began.elapsed(), &who),
                 Some(Wish::Facts(facts)) => node.write(began.elapsed(), facts),
                 Some(Wish::Drain) => node.drain(began.elapsed()),
                 Some(Wish::Leave(said)) => {
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -7,10 +7,10 @@
 //! what the others said meanwhile, which lies in the socket, is heard before anybody is given up.
 use super::doubts::Doubts;
 use super::members::{Change, Member, Members, Steps, PROBE};
-use super::rows::{Row, Rows, Taken};
+use super::rows::{Row, Rows};
 use super::seeded::broken;
 use super::sides::{Side, Sides, Standing, FORGET};
-use super::view::{Line, State, View};
+use super::view::{word, Line, State, View};
 use super::wire::{self, Facts, Head, Record, Say, DATAGRAM, HEAD, RECORD_MOST};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -41,7 +41,7 @@
 const HOT_MOST: usize = 64;
 /// A failed probe is told to so many, who are the same for all that probe the same member.
 const DOUBT_TO: usize = 8;
-/// A view that differs from another one's for so long is compared with it, and no more often.
+/// A view is compared with one that differs from it, but no more often than this.
 pub const COMPARE: Duration = Duration::from_millis(250);
 /// Datagrams that answer one comparison, and all of them in a second.
 const ANSWER: usize = 8;
@@ -252,12 +252,11 @@
         self.out()
     }
 
-    /// A member has shown its certificate on a connection, in the life named. False where that is not the life known.
-    pub fn shown(&mut self, now: Duration, who: &Member) -> bool {
+    /// A member has shown its certificate on a connection, in the life named.
+    pub fn shown(&mut self, now: Duration, who: &Member) {
         self.begin(now);
-        let known = self.rows.shown(who);
+        self.rows.shown(who);
         self.end();
-        known
     }
 
     /// Those that have not shown a certificate yet.
@@ -297,11 +296,6 @@
         self.digest
     }
 
-    /// How things stand with the sides.
-    pub fn standing(&self) -> Standing {
-        self.sides.standing()
-    }
-
     /// Whether all views that were heard lately are the same as this one.
     pub fn same(&self) -> bool {
         let others = self.members.count();
@@ -333,10 +327,7 @@
     fn end(&mut self) {
         let me = self.members.me();
         if *me != self.rows.own().of {
-            let me = me.clone();
-            self.rows.write(self.now, &me, self.facts.clone(), 0);
-            self.rows.shown(&me);
-            self.heat(me.address);
+            self.write_own(0);
         }
         let digest = self.rows.digest();
         if digest != self.digest {
@@ -393,9 +384,7 @@
             let other = other && !broken("forged facts stand");
             if *of == own.of && !record.gone && record.facts.is_some() && other {
                 // Somebody else's word on this one: its own goes above.
-                let (me, facts) = (own.of.clone(), self.facts.clone());
-                self.rows.write(now, &me, facts, record.count);
-                self.heat(me.address);
+                self.write_own(record.count);
             } else if *of != own.of || record.gone {
                 let steps = self.members.told(of, !record.gone);
                 self.steps(steps);
@@ -412,7 +401,7 @@
             let steps = self.members.told(of, !record.gone);
             self.steps(steps);
         }
-        if self.rows.take(now, record) == Taken::Newer {
+        if self.rows.take(now, record) {
             self.heat(of.address);
         }
         if let Some(row) = self.rows.get(of.address).filter(|r| r.left()) {
@@ -484,19 +473,22 @@
         self.out.push((to, wire::encode(self.tag, head, say)));
     }
 
-    /// Some others, by luck.
-    fn some(&mut self, count: usize, but: SocketAddr) -> Vec<SocketAddr> {
+    /// Where those are that are there, without this one.
+    fn others_there(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         let me = self.me().address;
-        let others = self.rows.there().map(|r| r.of.address).filter(|a| *a != me && *a != but);
-        let others: Vec<SocketAddr> = others.collect();
+        self.rows.there().map(|r| r.of.address).filter(move |a| *a != me)
+    }
+
+    /// Some others, by luck.
+    fn some(&mut self, count: usize) -> Vec<SocketAddr> {
+        let others: Vec<SocketAddr> = self.others_there().collect();
         others.choose_multiple(&mut self.random, count).copied().collect()
     }
 
     /// Those that hear of doubts in a member: the same for all, as far as their views are, so that some of them hear of
     /// all. By luck alone none of 300 heard of two others in time, and a crash was known after 7 s.
     fn witnesses(&self, of: &Member) -> Vec<SocketAddr> {
-        let me = self.me().address;
-        let others = self.rows.there().map(|r| r.of.address).filter(|a| *a != me && *a != of.address);
+        let others = self.others_there().filter(|a| *a != of.address);
         let rank = |a: &SocketAddr| crc32fast::hash(format!("{a} {}", of.address).as_bytes());
         let mut ranked: Vec<(u32, SocketAddr)> = others.map(|a| (rank(&a), a)).collect();
         ranked.sort_unstable();
@@ -554,7 +546,7 @@
                 };
             }
             let say = Say::Records { from: self.me().clone(), records: first };
-            for to in self.some(PASSED_TO, self.me().address) {
+            for to in self.some(PASSED_TO) {
                 self.say(to, &say);
             }
         }
@@ -581,7 +573,7 @@
         parts
     }
 
-    /// Asks for what differs, where a view has differed for a while.
+    /// Asks for what differs; not where this very datagram has just changed the view, unless it had stood for a while.
     fn compare(&mut self, with: SocketAddr, digest: u64) {
         let mine = self.rows.digest();
         let settled = self.now.saturating_sub(self.since) >= COMPARE || mine == self.digest;
@@ -620,8 +612,14 @@
             return;
         }
         self.facts = facts;
+        self.write_own(0);
+    }
+
+    /// Its own row, in the life that it has now and above a count that others have seen.
+    fn write_own(&mut self, above: u32) {
         let me = self.me().clone();
-        self.rows.write(self.now, &me, self.facts.clone(), 0);
+        self.rows.write(self.now, &me, self.facts.clone(), above);
+        self.rows.shown(&me);
         self.heat(me.address);
     }
 
@@ -647,7 +645,7 @@
         let side = self.sides.side();
         if side != self.side {
             let Standing { counted, base, out_of_reach, agreed, .. } = self.sides.standing();
-            log::info!(side = word(side), counted, base, out_of_reach, last_agreed = agreed; "side of the fleet");
+            log::info!(side = word(&side), counted, base, out_of_reach, last_agreed = agreed; "side of the fleet");
             self.side = side;
         }
     }
@@ -737,14 +735,6 @@
     }
 }
 
-fn word(side: Side) -> &'static str {
-    match side {
-        Side::Unknown => "unknown",
-        Side::Minority => "minority",
-        Side::Majority => "majority",
-    }
-}
-
 /// A crash is known to all after so long, where datagrams arrive: some member probes it within a round of all (with n
 /// members about `n` probes go out in each period, and it is missed by all of them for `k` periods with the chance e^-k),
 /// the probe's end, the suspicion, and the way of the word.
--- a/src/fleet/rows.rs
+++ b/src/fleet/rows.rs
@@ -4,7 +4,7 @@
 use super::seeded::broken;
 use super::wire::{Facts, Record, PARTS};
 use sha2::{Digest, Sha256};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -76,15 +76,6 @@
     }
 }
 
-/// What a record has changed.
-#[derive(Debug, PartialEq)]
-pub enum Taken {
-    /// Nothing.
-    Old,
-    /// Facts of a member that is there: worth passing on.
-    Newer,
-}
-
 /// All rows, this member's own among them.
 pub struct Rows {
     me: SocketAddr,
@@ -173,15 +164,15 @@
         }
     }
 
-    /// Takes in what is told of one, where it is newer.
-    pub fn take(&mut self, now: Duration, record: &Record) -> Taken {
+    /// Takes in what is told of one; says whether it was newer: worth passing on.
+    pub fn take(&mut self, now: Duration, record: &Record) -> bool {
         let older =
             |r: &&Row| r.of == record.of && (r.count < record.count || broken("older facts are taken"));
         if record.of.address == self.me
             || record.facts.is_none()
             || self.rows.get(&record.of.address).filter(older).is_none()
         {
-            return Taken::Old;
+            return false;
         }
         let written = now.saturating_sub(Duration::from_millis(u64::from(record.age)));
         self.change(record.of.address, |row| {
@@ -189,7 +180,7 @@
             row.reckon();
             Some(row)
         });
-        Taken::Newer
+        true
     }
 
     /// It spoke itself.
@@ -199,11 +190,14 @@
         }
     }
 
-    /// It has shown a certificate on a connection, in the life named.
-    pub fn shown(&mut self, who: &Member) -> bool {
-        let row = self.rows.get_mut(&who.address).filter(|r| r.of == *who && !r.gone);
-        self.changes += 1;
-        row.map(|r| r.shown = true).is_some()
+    /// It has shown a certificate on a connection, in the life named; nothing where that is not the one known.
+    pub fn shown(&mut self, who: &Member) {
+        // Neighbours that learn connect again and again: only the first time is a change.
+        let row = self.rows.get_mut(&who.address).filter(|r| r.of == *who && !r.gone && !r.shown);
+        if let Some(row) = row {
+            row.shown = true;
+            self.changes += 1;
+        }
     }
 
     /// Rises with each change of who is there, counts, or has written what.
@@ -236,11 +230,6 @@
         self.change(at, |_| None);
     }
 
-    /// Names of those that are there.
-    pub fn names(&self) -> BTreeSet<String> {
-        self.there().map(|r| r.of.name.clone()).collect()
-    }
-
     /// One number for who is there, in which life, and which facts of theirs are known.
     pub fn digest(&self) -> u64 {
         self.digest
@@ -283,7 +272,7 @@
         one.write(Duration::ZERO, &member(0, 1), facts(4), 0);
         assert_ne!(one.digest(), other.digest());
         let record = one.own().record(Duration::ZERO);
-        assert_eq!(other.take(Duration::from_secs(9), &record), Taken::Newer);
+        assert!(other.take(Duration::from_secs(9), &record));
         assert_eq!(one.digest(), other.digest());
         other.down(Duration::from_secs(9), &member(1, 1));
         assert_ne!(one.digest(), other.digest());
@@ -302,10 +291,10 @@
             facts: Some(facts(u64::from(count))),
         };
         let now = Duration::from_secs(10);
-        assert_eq!(rows.take(now, &record(1, 1, 5)), Taken::Newer);
+        assert!(rows.take(now, &record(1, 1, 5)));
         assert_eq!(rows.get(address(1)).map(|r| r.written), Some(Duration::from_secs(8)));
         for old in [record(1, 1, 5), record(1, 1, 4), record(1, 2, 9), record(0, 1, 9), record(7, 1, 9)] {
-            assert_eq!(rows.take(now, &old), Taken::Old, "{old:?}");
+            assert!(!rows.take(now, &old), "{old:?}");
         }
         // A later life has written nothing yet.
         rows.up(now, &member(1, 2));
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -81,7 +81,8 @@
     }
 }
 
-fn word<T: Serialize>(of: &T) -> String {
+/// The word that stands for a value in JSON, for tables and log lines.
+pub(super) fn word<T: Serialize>(of: &T) -> String {
     serde_json::to_value(of).ok().and_then(|v| v.as_str().map(String::from)).unwrap_or_default()
 }
 
--- a/src/neighbours/look.rs
+++ b/src/neighbours/look.rs
@@ -47,7 +47,6 @@
     let mut shut = false;
     loop {
         let mut why = Vec::new();
-        let before = agreed;
         for at in &flags.ask {
             let take = |view: View| {
                 let fresh = gist(&view);
@@ -66,7 +65,8 @@
             }
         }
         let ends = watch.is_none() || shut || agreed.is_none();
-        if !why.is_empty() && (agreed == before || watch.is_some()) {
+        // Whoever did not answer matters where nobody did, and to one who watches.
+        if watch.is_some() || agreed.is_none() {
             why.iter().for_each(|w| eprintln!("{w}"));
         }
         match agreed {
--- a/src/neighbours/meet.rs
+++ b/src/neighbours/meet.rs
@@ -2,13 +2,9 @@
 //! teaches has done so already; a visit is for the rest. One visit serves both sides.
 use super::dial::Dial;
 use super::link::{self, End};
-use super::teachers::{AGAIN, SHUNNED};
+use super::turns::{Turns, AGAIN, SHUNNED};
 use crate::fleet::gossip::Known;
-use crate::fleet::members::{Member, MEMBERS_MOST};
-use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
-use rand::SeedableRng;
-use std::collections::BTreeMap;
+use crate::fleet::members::Member;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,43 +18,24 @@
 pub const EVERY: Duration = Duration::from_millis(50);
 
 /// Whom to visit, without I/O: some at a time, those that failed not again at once. Times in seconds of any clock.
-pub struct Visits {
-    random: StdRng,
-    on_the_way: BTreeMap<SocketAddr, u64>,
-    not_before: BTreeMap<SocketAddr, f64>,
-}
+pub struct Visits(Turns);
 
 impl Visits {
     /// None yet.
     pub fn new(seed: u64) -> Visits {
-        Visits {
-            random: StdRng::seed_from_u64(seed),
-            on_the_way: BTreeMap::new(),
-            not_before: BTreeMap::new(),
-        }
+        Visits(Turns::new(AT_ONCE, seed))
     }
 
     /// Whom to visit now.
     pub fn choose(&mut self, now: f64, unshown: &[Member]) -> Vec<Member> {
-        self.not_before.retain(|_, at| *at > now);
-        let may = |m: &&Member| {
-            !self.on_the_way.contains_key(&m.address) && !self.not_before.contains_key(&m.address)
-        };
-        let free: Vec<&Member> = unshown.iter().filter(may).collect();
-        let room = AT_ONCE.saturating_sub(self.on_the_way.len());
-        let chosen: Vec<Member> =
-            free.choose_multiple(&mut self.random, room).map(|m| (*m).clone()).collect();
-        self.on_the_way.extend(chosen.iter().map(|m| (m.address, m.incarnation)));
-        chosen
+        let chosen = self.0.choose(now, unshown.iter().map(|m| m.address));
+        unshown.iter().filter(|m| chosen.contains(&m.address)).cloned().collect()
     }
 
     /// One is over; the next to the same begins after so long. Also after one that went well: the life that was shown
     /// may be another than the one known.
     pub fn ended(&mut self, now: f64, who: SocketAddr, pause: f64) {
-        self.on_the_way.remove(&who);
-        if self.not_before.len() < MEMBERS_MOST {
-            self.not_before.insert(who, now + pause);
-        }
+        self.0.ended(now, who, pause);
     }
 }
 
--- a/src/neighbours/mod.rs
+++ b/src/neighbours/mod.rs
@@ -11,6 +11,7 @@
 pub mod teachers;
 pub mod tell;
 pub mod trust;
+pub mod turns;
 pub mod weigh;
 
 use crate::clock;
@@ -236,14 +237,14 @@
                 let pause = match end {
                     End::Over(why) => {
                         log::debug!("neighbours: learning from {who} is over: {why}");
-                        teachers::AGAIN
+                        turns::AGAIN
                     }
                     End::Shun(why) => {
                         if shunned.get(&who) != Some(&why) {
                             log::warn!("neighbours: nothing is learned from {who}: {why}");
                             shunned.insert(who, why);
                         }
-                        teachers::SHUNNED
+                        turns::SHUNNED
                     }
                 };
                 teachers.ended(now(), who, pause);
--- a/src/neighbours/teachers.rs
+++ b/src/neighbours/teachers.rs
@@ -1,54 +1,34 @@
 //! From whom to learn.
-use crate::fleet::members::{Member, MEMBERS_MOST};
-use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
-use rand::SeedableRng;
-use std::collections::{BTreeMap, BTreeSet};
+use super::turns::Turns;
+use crate::fleet::members::Member;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// A forwarder learns from so many at once: three views are enough to start from, and each costs its teacher little.
 pub const TEACHERS: usize = 3;
-/// A neighbour that garbles, floods or is not trusted is left alone for so long, in seconds.
-pub const SHUNNED: f64 = 60.0;
-/// One that could not be reached, or that broke off, in seconds.
-pub const AGAIN: f64 = 1.0;
-
 /// From whom to learn: some of those that are there, chosen anew when one ends.
 pub struct Teachers {
     seeds: Vec<SocketAddr>,
     me: SocketAddr,
-    with: BTreeSet<SocketAddr>,
-    not_before: BTreeMap<SocketAddr, f64>,
-    random: StdRng,
+    turns: Turns,
 }
 
 impl Teachers {
     /// `seeds` are tried from the start: who waits for membership to settle has learned everything the hard way.
     pub fn new(me: SocketAddr, seeds: Vec<SocketAddr>, seed: u64) -> Teachers {
-        let random = StdRng::seed_from_u64(seed);
-        Teachers { seeds, me, with: BTreeSet::new(), not_before: BTreeMap::new(), random }
+        Teachers { seeds, me, turns: Turns::new(TEACHERS, seed) }
     }
 
     /// To whom to connect now; `now` in seconds of any clock that only moves forward.
     pub fn choose(&mut self, now: f64, members: &[Member]) -> Vec<SocketAddr> {
-        self.not_before.retain(|_, at| *at > now);
         let known: BTreeSet<SocketAddr> =
             members.iter().map(|m| m.address).chain(self.seeds.clone()).collect();
-        let may =
-            |a: &SocketAddr| *a != self.me && !self.with.contains(a) && !self.not_before.contains_key(a);
-        let free: Vec<SocketAddr> = known.into_iter().filter(may).collect();
-        let room = TEACHERS.saturating_sub(self.with.len());
-        let chosen: Vec<SocketAddr> = free.choose_multiple(&mut self.random, room).copied().collect();
-        self.with.extend(&chosen);
-        chosen
+        self.turns.choose(now, known.into_iter().filter(|a| *a != self.me))
     }
 
     /// The connection has ended; the next to this one is made after `pause` seconds.
     pub fn ended(&mut self, now: f64, who: SocketAddr, pause: f64) {
-        self.with.remove(&who);
-        if self.not_before.len() < MEMBERS_MOST {
-            self.not_before.insert(who, now + pause);
-        }
+        self.turns.ended(now, who, pause);
     }
 }
 
@@ -56,6 +36,7 @@
 mod tests {
     use super::*;
     use crate::fleet::members::tests::{address, member};
+    use crate::neighbours::turns::SHUNNED;
 
     #[test]
     fn three_teach_and_one_that_ended_is_left_alone_for_a_while() {
