Read lists as values over any number of lines, and open a silent watch anew within a formula

Seen: a discovery that writes its lists indented was passed over line by line (discovery::watch cut at line feeds), so nothing of it was ever learnt, drains neither. And a watch was taken for silent 4.5 s after its last line; with a pause of up to a second and a connect of up to one more, the 6 s after which what it missed counts as told were passed in a bad case, and always where the next watch was silent too.

--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -72,3 +72,91 @@
     let took = begun.elapsed();
     assert_eq!(took > Duration::from_millis(2500), in_turn, "{took:?}");
 }
+
+/// A chunk of an answer to a watch, behind its head.
+fn watch_of(text: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{text}\r\n", text.len())
+}
+
+/// What a watch does not bring counts as told 6 s after it fell silent, which may have been right behind its last word:
+/// by then it has been opened anew, also where further ones are as silent.
+#[rstest]
+#[case::at_once(0, "")]
+#[case::one_more_is_silent(1, "")]
+#[case::two_more_are_silent(2, "")]
+#[case::they_say_half_a_list(2, "{\"rev\":2,\"all\":true,\n \"targets\":[")]
+#[case::they_say_noise(2, "no list\nat all")]
+fn a_watch_that_falls_silent_is_opened_anew_in_time(#[case] silent: usize, #[case] word: &'static str) {
+    let (old, new) = (Server::always("200 OK"), Server::always("200 OK"));
+    let known = list(1, &[(7, old.addr)]);
+    let fresh = list(2, &[(7, new.addr)]).replace("s-0", "s-1");
+    let first = known.clone();
+    let disco = Server::start(move |heard, n| match (heard.first.starts_with("GET"), n) {
+        (false, _) => say("204 No Content", "", ""),
+        (true, 0) => watch(&first),
+        (true, n) if n <= silent => Reply::Hold(if word.is_empty() { String::new() } else { watch_of(word) }),
+        (true, _) => watch(&fresh),
+    });
+    let daemon = setup(&disco, known).start();
+    daemon.wait_log("upstream group: version 1");
+    let begun = Instant::now();
+    daemon.wait_log("upstream group: version 2");
+    let took = begun.elapsed();
+    // A word may be due only after 2 s, and late by half a second.
+    assert!(took > Duration::from_millis(2500), "not taken for silent while it may speak: {took:?}");
+    assert!(took < Duration::from_millis(5800), "{took:?}");
+    assert_eq!(daemon.hand_in("stats", "after"), 202);
+    new.wait_id("after");
+}
+
+/// Lists may be indented over many lines, with noise between them: a first one, and changes that a watch brings.
+#[test]
+fn indented_lists_are_read_and_noise_between_them_is_passed_over() {
+    let (old, new) = (Server::always("200 OK"), Server::always("200 OK"));
+    let indent = |text: String| format!("{:#}\n", text.parse::<serde_json::Value>().expect("a list"));
+    let first = indent(list(2, &[(7, old.addr)]));
+    let change = list(3, &[(7, old.addr), (7, new.addr)]).replacen("Ready", "Terminating", 1);
+    let change = indent(change.replacen("true", "false", 1));
+    let texts = [&first[..], "\n", "  \"uid\": \"s-9\",\n}\n", &change];
+    let chunks: Vec<String> = texts
+        .concat()
+        .as_bytes()
+        .chunks(37)
+        .map(|c| format!("{:x}\r\n{}\r\n", c.len(), String::from_utf8_lossy(c)))
+        .collect();
+    let said = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{}", chunks.concat());
+    let disco = Server::start(move |heard, n| match (heard.first.starts_with("GET"), n) {
+        (true, 0) => Reply::Hold(said.clone()),
+        (true, _) => Reply::Hold(String::new()),
+        (false, _) => say("204 No Content", "", ""),
+    });
+    let daemon = setup(&disco, list(1, &[(7, old.addr)])).start();
+    daemon.wait_log("upstream group: version 2 lines=1");
+    daemon.wait_log("upstream group: version 3 lines=2");
+    for n in 0..3 {
+        assert_eq!(daemon.hand_in("stats", &format!("m{n}")), 202);
+        new.wait_id(&format!("m{n}"));
+    }
+    assert!(old.heard().is_empty(), "the drain that stood in an indented change is kept");
+}
+
+/// A list that never ends is not kept, and asked for anew; the one that is held stands.
+#[test]
+fn a_list_without_end_is_given_up_and_asked_for_anew() {
+    let old = Server::always("200 OK");
+    let known = list(1, &[(7, old.addr)]);
+    let endless = watch_of(&format!("{{\"rev\":2,\"all\":true,\"targets\":[{}", " ".repeat(10 << 20)));
+    let fresh = list(3, &[(7, old.addr)]);
+    let disco = Server::start(move |heard, n| match (heard.first.starts_with("GET"), n) {
+        (true, 0..2) => Reply::Say(endless.clone()),
+        (true, _) => watch(&fresh),
+        (false, _) => say("204 No Content", "", ""),
+    });
+    let daemon = setup(&disco, known).start();
+    daemon.wait_log("a list without end");
+    assert_eq!(daemon.hand_in("stats", "meanwhile"), 202);
+    old.wait_id("meanwhile");
+    daemon.wait_log("upstream group: version 3");
+    // Two at once at the most, and what is read of each is bounded.
+    assert!(daemon.memory() < 48 << 20, "{} bytes", daemon.memory());
+}
