Pass a told wait on as its line comes, whatever becomes of the call that it answered

By reading, the wait went with the outcome of its try, and was lost where (a) the head could not be read or did not end (upstream::platform judged it Spoilt), (b) the time-out or GiveUp dropped the call while the answer was under way (upstream::attempt), (c) core::try_ended found the message forgotten or another attempt.

Forced with a stand-in, on the program as it was: (a) breaks with a head without end, with an unreadable line behind the wait and with a connection broken off in the head; (b) breaks with an answer that crosses the end of the call. A body that is still to come when the time is up did not break: its head was judged within 3 ms. (c) cannot be told apart from (b) outside.

Now the tap passes each line of a head on as it comes, the platform's encoding hears Retry-After beside 429 and 503, and the wait reaches the module by an event of its own (ToldWait), by host and dest, so that a forgotten host does not matter. A call that is given up ends its sending (by which the endpoint knows) and is listened to for half a second more.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -154,6 +154,10 @@
                     self.ledger.keep(now, Record::Heard { id: id.0 }, None);
                     self.heard(id);
                 }
+                Input::ToldWait { host, dest, wait } => {
+                    log::debug!(dest = dest.0, wait_s = wait.secs(); "told to wait");
+                    self.events.push(Event::ToldWait { host, dest, wait });
+                }
                 Input::Hearsay(sightings) => self.hearsay(sightings),
             }
         }
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -1,5 +1,5 @@
 //! What the core takes in and what it gives out: inputs, answers, tries, notices, orders. Knows no wire.
-use crate::interface::{HostId, Listed, MsgId, Nanos, News, Outcome};
+use crate::interface::{DestId, HostId, Listed, MsgId, Nanos, News, Outcome};
 use crate::journal::End;
 use crate::request::RequestContext;
 use std::sync::Arc;
@@ -59,6 +59,12 @@
         outcome: Outcome,
         over: bool,
     },
+    /// A partner's word on when to come, told at this endpoint.
+    ToldWait {
+        host: HostId,
+        dest: DestId,
+        wait: Nanos,
+    },
     NoticeHeard(MsgId),
     /// What neighbours saw.
     Hearsay(Vec<Sighting>),
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::core::{Answer, Core, Input, Member, Notice, Order, Sighting, Try};
 use crate::request::RequestContext;
-use crate::{HostId, MsgId, Outcome};
+use crate::{DestId, HostId, MsgId, Nanos, Outcome};
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -105,6 +105,11 @@
         self.say(Said::Happened(Input::TryEnded { id, attempt, outcome, over }));
     }
 
+    /// A partner told us to wait, whatever becomes of the try that it answered.
+    pub fn told_wait(&self, host: HostId, dest: DestId, wait: Nanos) {
+        self.say(Said::Happened(Input::ToldWait { host, dest, wait }));
+    }
+
     pub fn notice_heard(&self, id: MsgId) {
         self.say(Said::Happened(Input::NoticeHeard(id)));
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -324,6 +324,16 @@
     Resumed(Message, Past),
     /// An attempt ended.
     Ended(Ended),
+    /// A destination told this relay at a host to wait, whatever became of the call that it answered. Its outcome, where
+    /// it still counts, says the same once more.
+    ToldWait {
+        /// The host.
+        host: HostId,
+        /// Its destination; the host may be forgotten.
+        dest: DestId,
+        /// How long nothing may be sent there.
+        wait: Nanos,
+    },
     /// The client has withdrawn the message.
     Gone(MsgId),
     /// From now on no send can start (true), or sends can start again (false). What is out goes on.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -135,9 +135,7 @@
     fn refused(
         &mut self, set: &Settings, (now, sent): (Nanos, Nanos), wait: Option<Nanos>, demand: f64, luck: f64,
     ) -> bool {
-        // Guards "waits are heeded": the longest told wait stands.
-        let until = wait.map_or(now, |w| now + w);
-        (self.wait_until, self.own_wait) = (self.wait_until.max(until), self.own_wait.max(until));
+        self.told(now, wait.unwrap_or_default());
         if sent < self.cut_at {
             return false;
         }
@@ -347,6 +345,10 @@
             Event::Message(m) => self.accept(m),
             Event::Resumed(m, past) => self.resume(m, past),
             Event::Ended(e) => self.ended(e),
+            Event::ToldWait { host, dest, wait } => {
+                let route = self.hosts.get(host).map_or((*dest, None), |h| h.route);
+                self.routes.entry(route).or_default().told(self.now, *wait);
+            }
             Event::Gone(id) => self.finish(*id),
             Event::Paused(on) => self.paused = *on,
             Event::Hint(hint) => self.hint(hint),
--- a/src/state.rs
+++ b/src/state.rs
@@ -143,6 +143,10 @@
         let told = Some(self.limit).filter(|l| *l > 0.0);
         self.pace.map(|p| told.map_or(p, |l| p.min(l))).or(told)
     }
+    /// Guards "waits are heeded": the longest told wait stands.
+    pub fn told(&mut self, now: Nanos, wait: Nanos) {
+        (self.wait_until, self.own_wait) = (self.wait_until.max(now + wait), self.own_wait.max(now + wait));
+    }
     /// When a call may go next.
     pub fn next(&self, now: Nanos) -> Nanos {
         let token = self.rate().map_or(now, |r| self.bucket.next(now, r));
--- a/src/upstream/as2.rs
+++ b/src/upstream/as2.rs
@@ -1,5 +1,5 @@
 //! The AS2 encoding of a try: a signed message to a partner, and what its receipt means.
-use super::pool::{Call, Pool};
+use super::pool::Pool;
 use super::{platform, Ending};
 use crate::as2::mdn::{self, Meaning};
 use crate::as2::smime::{self, Entity};
@@ -36,13 +36,16 @@
     // Known before the first byte goes out: a receipt may overtake the answer.
     let word = exchange.expect(&id);
     let may_go = || exchange.may_go(one.id, one.attempt);
-    let Call { answer, seat, .. } = match pool.call(request, may_go).await {
+    let mut call = match pool.call(request, may_go, platform::listener(one, exchange)).await {
         Ok(call) => call,
         Err(fault) => return platform::broken(&partner.url, &fault),
     };
-    let (head, body) = match answer.await {
-        Ok(answer) => answer.into_parts(),
-        Err(fault) => return platform::broken(&partner.url, &fault),
+    let (head, body, seat) = match call.head().await {
+        (Ok(answer), seat) => {
+            let (head, body) = answer.into_parts();
+            (head, body, seat)
+        }
+        (Err(fault), _) => return platform::broken(&partner.url, &fault),
     };
     if !head.status.is_success() {
         return platform::ending(head.status, &head.headers);
@@ -54,7 +57,9 @@
             head.headers.get(CONTENT_TYPE).and_then(|t| t.to_str().ok()).unwrap_or_default().to_string();
         match Limited::new(body, RECEIPT_MOST).collect().await {
             Ok(text) => {
-                let _ = tokio::time::timeout(platform::LINGER, seat.settle()).await;
+                if let Some(seat) = seat {
+                    let _ = tokio::time::timeout(platform::LINGER, seat.settle()).await;
+                }
                 Some(as_text(&kind, &text.to_bytes()))
             }
             // Silent or gone before its receipt: it may have run.
--- a/src/upstream/platform.rs
+++ b/src/upstream/platform.rs
@@ -1,10 +1,10 @@
 //! The platform's encoding of a try: a call to an endpoint, and what its answer means.
-use super::pool::{Answer, Call, Fault, Pool, Seat};
-use super::tap::Watch;
+use super::pool::{Answer, Fault, Pool, Seat};
+use super::tap::{Listener, Watch};
 use super::Ending;
 use crate::core::Try;
 use crate::exchange::Exchange;
-use crate::{Nanos, Outcome};
+use crate::{DestId, Nanos, Outcome};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, CONNECTION, RETRY_AFTER};
@@ -39,31 +39,51 @@
             return Outcome::Moot.into();
         }
     };
-    let Call { watch, mut answer, seat } =
-        match pool.call(request, || exchange.may_go(one.id, one.attempt)).await {
-            Ok(call) => call,
-            Err(fault) => return broken(&one.address, &fault),
-        };
+    let may_go = || exchange.may_go(one.id, one.attempt);
+    let mut call = match pool.call(request, may_go, listener(one, exchange)).await {
+        Ok(call) => call,
+        Err(fault) => return broken(&one.address, &fault),
+    };
+    let watch = call.watch.clone();
     let done = tokio::select! {
         biased;
-        done = &mut answer => Some(done),
-        () = watch.settled() => timeout(LINGER, &mut answer).await.ok(),
+        done = call.head() => Some(done),
+        () = watch.settled() => timeout(LINGER, call.head()).await.ok(),
     };
     match done {
-        Some(done) => judge(done, &watch, seat, &one.address).await,
+        Some((done, seat)) => judge(done, &watch, seat, &one.address).await,
         None if watch.says_ok() => {
-            tokio::spawn(
-                async move { timeout(BODY_FOR, async { read_out(answer.await?, seat).await }).await },
-            );
+            tokio::spawn(timeout(BODY_FOR, async move {
+                let (answer, seat) = call.head().await;
+                read_out(answer?, seat).await
+            }));
             Outcome::Ok.into()
         }
         None => spoilt(&one.address, "its head does not end"),
     }
 }
 
+/// Hears the wait that an answer tells, line by line as its head comes, and passes it on at once. A wait belongs to the
+/// partner and not to the message: it counts also where the head never ends or cannot be read, and where nobody waits
+/// for the answer any more.
+pub fn listener(one: &Try, exchange: &Exchange) -> Listener {
+    let (host, dest, exchange) = (one.host, DestId(one.context.dest), exchange.clone());
+    Box::new(move |status, line| {
+        let said = line.split_once(':').filter(|l| l.0.trim().eq_ignore_ascii_case(RETRY_AFTER.as_str()));
+        if let Some(wait) = said.filter(|_| turns_away(status)).and_then(|l| span(l.1)) {
+            exchange.told_wait(host, dest, wait);
+        }
+    })
+}
+
+/// Whether this status says that the call never ran, so that a wait beside it is the partner's word on when to come.
+fn turns_away(status: u16) -> bool {
+    matches!(status, 429 | 503)
+}
+
 /// What came of a call. Guards the truth of it against answers that are spoilt: the call has run, and where the
 /// first line says 200 it is a delivery, whatever comes behind.
-async fn judge(done: Answer, watch: &Watch, seat: Seat, place: &str) -> Ending {
+async fn judge(done: Answer, watch: &Watch, seat: Option<Seat>, place: &str) -> Ending {
     match done {
         Ok(answer) if answer.status() == StatusCode::SWITCHING_PROTOCOLS => spoilt(place, "it is a 101"),
         Ok(answer) => {
@@ -100,9 +120,11 @@
 }
 
 /// Reads an answer's body, for the connection to be used again. One that is too long closes it.
-async fn read_out(answer: Response<Incoming>, seat: Seat) -> Result<(), Fault> {
+async fn read_out(answer: Response<Incoming>, seat: Option<Seat>) -> Result<(), Fault> {
     let _ = Limited::new(answer.into_body(), BODY_MOST).collect().await;
-    seat.settle().await;
+    if let Some(seat) = seat {
+        seat.settle().await;
+    }
     Ok(())
 }
 
@@ -134,7 +156,11 @@
 /// The wait that an answer tells. Guards against what no endpoint can mean: one that is no number, or not ahead, is
 /// none, and a longer one than an hour is an hour, or a slip would shut a partner out until the next restart.
 fn wait(headers: &HeaderMap) -> Option<Nanos> {
-    let said = headers.get(RETRY_AFTER)?.to_str().unwrap_or_default().trim();
+    span(headers.get(RETRY_AFTER)?.to_str().unwrap_or_default())
+}
+
+fn span(said: &str) -> Option<Nanos> {
+    let said = said.trim();
     match said.parse::<f64>() {
         Ok(secs) if secs > WAIT_MOST => {
             log::warn!(said; "told to wait longer than {WAIT_MOST} s: taken for that");
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -1,7 +1,7 @@
 //! The connections to one endpoint, on hyper-util's cache. A try gets its connection first, then it is asked anew
 //! whether it may go, and only then its request is handed over: a connect may take seconds, and much may be told
 //! meanwhile. A connection whose try may not go any more serves the next one.
-use super::tap::{Tapped, Watch};
+use super::tap::{Listener, Tapped, Watch};
 use crate::settings::Site;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -17,7 +17,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::runtime::Handle;
+use tokio::time::{timeout, Instant};
 use tower::{service_fn, Service, ServiceExt};
 
 /// Idle connections are closed after this share of the time after which the endpoint's machine does so.
@@ -26,6 +27,10 @@
 const IDLE_MOST: usize = 3;
 /// The least time between two looks for those that have stood idle for too long.
 const SWEEP_LEAST: Duration = Duration::from_millis(100);
+/// How long a call that was given up is still listened to. Guards told waits: an answer that was written before the
+/// endpoint could know is a word to heed, and it is here within the time of one round through a
+/// slow network.
+const LATE_FOR: Duration = Duration::from_millis(500);
 /// The head of an answer is shorter.
 const HEAD_MOST: usize = 16 * 1024;
 
@@ -50,16 +55,40 @@
 
 pub type Answer = Result<Response<Incoming>, Fault>;
 
-/// A call whose request is on its way. Its connection goes back to the others once the answer has been read and the
-/// seat is let go; let go before, it is closed.
+/// A call whose request is on its way. Dropped before its head has come, it is given up: its sending ends at once, and
+/// the connection is still listened to, for a word that crossed this.
 pub struct Call {
     pub watch: Watch,
-    pub answer: Later<Answer>,
-    pub seat: Seat,
+    out: Option<(Later<Answer>, Seat)>,
 }
 
-/// What a connection is asked to carry; nothing: it is to be closed.
-type Ask = Option<Post>;
+impl Call {
+    /// Waits for the head of its answer; with it comes the seat, whose connection goes back to the others once the body
+    /// has been read and the seat is let go. Let go before, it is closed.
+    pub async fn head(&mut self) -> (Answer, Option<Seat>) {
+        let done = match &mut self.out {
+            Some((answer, _)) => answer.await,
+            None => Err(Fault::Unsent),
+        };
+        (done, self.out.take().map(|o| o.1))
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        let Some((answer, mut seat)) = self.out.take() else { return };
+        self.watch.give_up();
+        let Ok(runtime) = Handle::try_current() else { return };
+        runtime.spawn(async move {
+            let _ = timeout(LATE_FOR, answer).await;
+            // Nothing more can be written on it.
+            drop(seat.call(None));
+        });
+    }
+}
+
+/// What a connection is asked to carry, and who hears of the answer; nothing: it is to be closed.
+type Ask = Option<(Post, Listener)>;
 
 #[derive(Debug)]
 struct Closed;
@@ -88,12 +117,12 @@
     }
 
     fn call(&mut self, ask: Ask) -> Self::Future {
-        let Some(request) = ask else {
+        let Some((request, listener)) = ask else {
             self.closed = true;
             return ready(Err(Closed));
         };
         // The watch begins before the connection writes.
-        let watch = self.tapped.watch();
+        let watch = self.tapped.watch(listener);
         let sent = self.send.try_send_request(request);
         let answer = async move {
             sent.await.map_err(|mut e| match e.take_message() {
@@ -209,7 +238,9 @@
 
     /// Gets a connection, asks whether the request may still go, and hands it over: the one place where a request
     /// meets its connection, for all fronts.
-    pub async fn call(self: Arc<Pool>, request: Post, may_go: impl FnOnce() -> bool) -> Result<Call, Fault> {
+    pub async fn call(
+        self: Arc<Pool>, request: Post, may_go: impl FnOnce() -> bool, listener: Listener,
+    ) -> Result<Call, Fault> {
         let to = request.uri().clone();
         // Those that were closed meanwhile are no longer among them after this.
         self.trim();
@@ -222,8 +253,8 @@
         if !may_go() {
             return Err(Fault::Unsent);
         }
-        match seat.call(Some(on_line(request))).await {
-            Ok((watch, answer)) => Ok(Call { watch, answer, seat }),
+        match seat.call(Some((on_line(request), listener))).await {
+            Ok((watch, answer)) => Ok(Call { watch, out: Some((answer, seat)) }),
             Err(Closed) => Err(Fault::Unsent),
         }
     }
--- a/src/upstream/tap.rs
+++ b/src/upstream/tap.rs
@@ -1,20 +1,24 @@
 //! A thin wrapper round an endpoint's socket. It keeps what hyper does not show of an answer that it cannot
-//! read: whether anything came, and what the first line says.
+//! read: whether anything came, and what the first line says. It passes on each line of a head as it comes, whatever
+//! becomes of the call, and ends the sending of a call that is given up.
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{timeout_at, Instant};
 
-/// A first line is kept so far.
+/// A line of a head is kept so far.
 const LINE_MOST: usize = 64;
 /// An endpoint writes the head of an answer at once. So long after its first byte, the rest is not waited for.
 const HEAD_FOR: Duration = Duration::from_millis(300);
 
+/// Hears the lines of an answer's head, each with the answer's status.
+pub type Listener = Box<dyn Fn(u16, &str) + Send>;
+
 /// What passed on a connection since its present call began.
 #[derive(Default)]
 struct Passed {
@@ -25,12 +29,20 @@
     /// In the head of a 1xx answer: the next one counts.
     ahead: bool,
     status: Option<u16>,
+    /// The head has ended.
+    whole: bool,
+    listener: Option<Listener>,
+    /// Nothing more is to be sent; and who waits to read.
+    ending: bool,
+    ended: bool,
+    reader: Option<Waker>,
 }
 
 #[derive(Clone, Default)]
 pub struct Tap(Arc<(Mutex<Passed>, Notify)>);
 
 /// One call's view of its connection.
+#[derive(Clone)]
 pub struct Watch {
     tap: Tap,
     call: u64,
@@ -42,10 +54,11 @@
 }
 
 impl Tap {
-    /// Watches the next call on this connection.
-    pub fn watch(&self) -> Watch {
+    /// Watches the next call on this connection, of whose answer this hears.
+    pub fn watch(&self, listener: Listener) -> Watch {
         let mut passed = self.passed();
-        *passed = Passed { call: passed.call + 1, ..Passed::default() };
+        let (call, reader) = (passed.call + 1, passed.reader.take());
+        *passed = Passed { call, reader, listener: Some(listener), ..Passed::default() };
         Watch { tap: self.clone(), call: passed.call }
     }
 
@@ -57,7 +70,7 @@
 impl Passed {
     fn read(&mut self, bytes: &[u8]) {
         for byte in bytes {
-            if self.status.is_some() {
+            if self.whole {
                 return;
             }
             self.heard = true;
@@ -75,6 +88,9 @@
         if self.ahead {
             // Only what comes behind a 1xx answer is the answer itself.
             (self.ahead, self.heard) = (!text.is_empty(), !text.is_empty());
+        } else if let Some(status) = self.status {
+            self.whole = text.is_empty();
+            self.listener.iter().for_each(|hear| hear(status, text));
         } else if !text.is_empty() {
             let version = text.split(' ').next().filter(|v| v.starts_with("HTTP/1."));
             let status = version.and_then(|_| text.split(' ').nth(1)?.parse().ok()).unwrap_or(0);
@@ -109,6 +125,15 @@
         self.look(|p| p.status == Some(200))
     }
 
+    /// Ends the sending, by which the endpoint knows that the call is given up. What it has said by then still comes.
+    pub fn give_up(&self) {
+        let mut passed = self.tap.passed();
+        if passed.call == self.call {
+            passed.ending = true;
+            passed.reader.take().into_iter().for_each(Waker::wake);
+        }
+    }
+
     /// Returns when nothing more needs to be known of the answer: its first line says 200, or its head should
     /// have come long ago.
     pub async fn settled(&self) {
@@ -141,6 +166,16 @@
     fn poll_read(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let ending = {
+            let mut passed = self.tap.passed();
+            passed.reader = Some(cx.waker().clone());
+            passed.ending && !passed.ended
+        };
+        if ending {
+            // It has failed on a connection that is broken, which the read says as well.
+            let _ = ready!(Pin::new(&mut self.io).poll_shutdown(cx));
+            self.tap.passed().ended = true;
+        }
         let before = buf.filled().len();
         let done = Pin::new(&mut self.io).poll_read(cx, buf);
         if buf.filled().len() > before {
