Refuse a newcomer at a full door before what was taken on and never tried

Now least adds that price to what was taken on in an earlier round and never may have run, until 0.7 of its time have passed, and also looks at the last that came of each sort. What one round takes in and refuses costs nothing.

Also a test of ToldWait in the module.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -76,6 +76,10 @@
 const WINDOW_SHARE: f64 = 0.85;
 /// Share of the holding limit kept free for new messages.
 const RESERVE: f64 = 0.06;
+/// Part of the worth that it costs to give back what is taken on and surely never ran, and until which part
+/// of its time (operators' page). At the door it costs nothing.
+const EARLY_COST: f64 = 0.3;
+const EARLY_UNTIL: f64 = 0.7;
 /// Slow: latency over this many times the lowest mean seen.
 const SLOW: f64 = 3.0;
 /// First and longest wait before asking for the list again, in seconds.
@@ -203,9 +207,7 @@
         let Breaker::Open { since, risky, .. } = self.breaker else { return false };
         // Slow, not silent, or only without a connection: it is answered soon after all.
         let slow = (sent < since || !risky) && (now - since).secs() < SHUT_AFTER;
-        if slow {
-            self.breaker = Breaker::Closed;
-        }
+        self.breaker = if slow { Breaker::Closed } else { self.breaker };
         !slow
     }
     fn warm_up(&mut self, at: Nanos, luck: f64) {
@@ -284,7 +286,6 @@
     armed: Option<Nanos>,
     ask_at: Option<Nanos>,
     ask_wait: f64,
-    shed_log: Nanos,
     /// Kinds, with signs that idle connections harm there; hosts with a call ended in this round.
     scarce: BTreeSet<usize>,
     rested: BTreeSet<HostId>,
@@ -359,9 +360,7 @@
 
     /// Guards "drains are kept": a stopping or missing host is unlisted at once.
     fn listed(&mut self, whole: bool, entries: &[Entry]) {
-        if whole {
-            self.hosts.values_mut().for_each(|h| (h.listed, h.gone) = (false, true));
-        }
+        self.hosts.values_mut().filter(|_| whole).for_each(|h| (h.listed, h.gone) = (false, true));
         for e in entries {
             let apart = self.set.kinds.get(e.kind).is_some_and(|k| k.apart);
             let route = (e.dest, apart.then_some(e.host));
@@ -404,11 +403,11 @@
     }
 
     /// Guards "no double effect" and the most tries across restarts: what is past counts as if seen here.
-    /// What may not go again is answered by `expire`.
+    /// What may not go again is answered by `expire`. It was taken on before this moment.
     fn resume(&mut self, m: &Message, past: &Past) {
         self.accept(m);
         let Some(msg) = self.msgs.get_mut(&m.id) else { return };
-        (msg.tries, msg.maybe) = (past.tries, past.maybe);
+        (msg.tries, msg.maybe, msg.arrived) = (past.tries, past.maybe, self.now - Nanos(1));
         self.hold(m.id);
         self.repeat_until.extend(past.maybe.map(|_| (self.now, m.id)));
         (past.tries >= self.set.most_tries).then(|| self.answer(m.id, 1.0));
@@ -765,10 +764,7 @@
             let rows = least.iter().filter_map(|(d, l)| l.map(|(worth, id, wait)| (*d, worth, id, wait)));
             let Some((dest, _, id, wait)) = rows.min_by(|a, b| a.1.total_cmp(&b.1)) else { return };
             self.answer(id, wait);
-            if self.now >= self.shed_log {
-                self.shed_log = self.now + REVIEW;
-                self.log("shedding: hold is full", None);
-            }
+            self.log("shedding: hold is full", None);
             least.insert(dest, self.flows.get(&dest).and_then(|f| self.least(f)));
         }
     }
@@ -778,11 +774,18 @@
         let wait = flow.backlog();
         let at = self.now + wait;
         // Of a sort, that with the least time left is worth least, and all may be refused or none.
-        let may = flow.held.first().filter(|p| self.msgs[&p.2].refusable(self.class(&p.2)));
-        let rows = may.map(|p| (self.worth(&p.2, at), p.1, p.2));
+        let may = flow.held.ends().filter(|p| self.msgs[&p.2].refusable(self.class(&p.2)));
+        let rows = may.map(|p| (self.worth(&p.2, at) + self.early(&p.2), p.1, p.2));
         rows.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|l| (l.0, l.2, wait))
     }
 
+    /// What giving a message back now costs beside its worth.
+    fn early(&self, id: &MsgId) -> f64 {
+        let (m, class) = (&self.msgs[id], self.class(id));
+        let young = (m.deadline - self.now).secs() > class.deadline.secs() * (1.0 - EARLY_UNTIL);
+        f64::from(u8::from(young && m.arrived < self.now && m.maybe.is_none())) * class.points * EARLY_COST
+    }
+
     // ---- The send gate: every send passes here, retries and trials included.
 
     fn sick(&self, flow: &Flow) -> bool {
@@ -1016,8 +1019,7 @@
         // Giving up on a message that must not repeat forfeits its worth: it may use all of its time.
         let timeout = if class.effect == Effect::Once { left } else { patience.min(left) };
         m.tries += 1;
-        m.out =
-            Some(Out { host, class: m.class, sent: now, call, mute: false, called_off: false, idle: h.idle });
+        m.out = Some(Out { host, class: m.class, sent: now, call, idle: h.idle, ..Out::default() });
         *self.calls.entry(call).or_default() += 1;
         if let Some(lane) = m.key.and_then(|k| self.lanes.get_mut(&k)) {
             lane.out += 1;
--- a/src/pile.rs
+++ b/src/pile.rs
@@ -79,9 +79,12 @@
         }
     }
 
-    /// Of each sort the first to have its time up, and the first that came.
-    pub fn first(&self) -> impl Iterator<Item = Place> + '_ {
-        let of = |row: &Row| [row.by_deadline.first().copied(), row.by_arrival.values().next().copied()];
+    /// Of each sort the first to have its time up, and the first and the last that came.
+    pub fn ends(&self) -> impl Iterator<Item = Place> + '_ {
+        let of = |row: &Row| {
+            let mut came = row.by_arrival.values().copied();
+            [row.by_deadline.first().copied(), came.next(), came.next_back()]
+        };
         self.all.values().flat_map(of).flatten()
     }
 
@@ -184,7 +187,7 @@
             if let (Some(near), Some(plain)) = (near, plain) {
                 prop_assert!((near - plain).abs() < 1e-9, "{near}, and {plain} in all");
             }
-            let least = pile.first().map(|p| worth(&all[p.2.0 as usize], later)).reduce(f64::min);
+            let least = pile.ends().map(|p| worth(&all[p.2.0 as usize], later)).reduce(f64::min);
             let plain = left().map(|(_, h)| worth(h, later)).reduce(f64::min);
             prop_assert_eq!(least, plain);
         }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -615,6 +615,44 @@
     assert!(got.iter().all(|a| !matches!(a, Action::Refuse { after: None, .. })));
 }
 
+/// What is taken on and given back untried before seven tenths of its time is priced; at the door a refusal is not.
+#[test]
+fn with_a_full_hold_a_newcomer_is_refused_before_what_was_taken_on_until_most_of_its_time_has_passed() {
+    let full = |age| {
+        let mut r = Relay::new(Settings { open_cap: 10, ..settings() }, vec![]);
+        let held: Vec<Event> = (1..=9).map(|id| r.message(id, SAFE, 10)).collect();
+        assert!((1..=9).all(|id| !refused(&r.step(0, &held), id)));
+        let m = r.message(10, SAFE, 10);
+        let got = r.step(age, &[m]);
+        (1..=10).filter(|id| refused(&got, *id)).collect::<Vec<u64>>()
+    };
+    // Of 20 s.
+    assert_eq!(full(100), [10]);
+    assert_eq!(full(13_900), [10]);
+    assert_eq!(full(14_100), [1], "most of its time has passed, and it is worth less");
+    // A newcomer that is worth more than that price still has its place.
+    let mut r = Relay::new(Settings { open_cap: 10, ..settings() }, vec![]);
+    let held: Vec<Event> = (1..=9).map(|id| r.message(id, SAFE, 10)).collect();
+    r.step(0, &held);
+    let m = r.message(10, ONCE, 10);
+    let got = r.step(100, &[m]);
+    assert!(!refused(&got, 10) && (1..=9).any(|id| refused(&got, id)), "{got:?}");
+}
+
+/// Found on herd+mass: a wait whose message was over before its outcome was known.
+#[rstest::rstest]
+#[case::its_host_is_known(1)]
+#[case::its_host_is_forgotten(99)]
+fn a_wait_that_no_outcome_tells_is_heeded(#[case] host: u32) {
+    let mut r = one_host();
+    history(&mut r, 100, 10, 3);
+    let (host, dest, wait) = (HostId(host), DestId(10), ms(1500));
+    r.step(10, &[Event::ToldWait { host, dest, wait }]);
+    let m = r.message(1, SAFE, 10);
+    assert!(sends(&r.step(1400, &[m])).is_empty());
+    assert_eq!(sends(&r.step(101, &[Event::Due])), [(1, 1)]);
+}
+
 #[test]
 fn the_list_is_asked_for_with_backoff_where_it_must_be() {
     let mut r = Relay::new(Settings { must_ask: Some(ms(10_000)), ..settings() }, vec![]);
