--- a/benches/held.rs
+++ b/benches/held.rs
@@ -152,7 +152,7 @@
     fn event(&mut self) {
         let mut inputs = vec![self.hand_in()];
         let (id, attempt) = self.out.pop_front().expect("calls are out all the time");
-        inputs.push(Input::TryEnded { id, attempt, outcome: Outcome::Ok, over: false });
+        inputs.push(Input::TryEnded { id, attempt, outcome: Outcome::Ok, over: false, report: None });
         self.moment(inputs);
     }
 }
--- a/src/core/faults.rs
+++ b/src/core/faults.rs
@@ -293,7 +293,7 @@
         let connected: Vec<_> = self.connecting.extract_if(.., |c| due(&c.0)).collect();
         connected.iter().for_each(|c| self.connected(&c.1));
         for (_, id, attempt, outcome) in self.out.extract_if(.., |o| due(&o.0)) {
-            inputs.push(Input::TryEnded { id, attempt, outcome, over: false });
+            inputs.push(Input::TryEnded { id, attempt, outcome, over: false, report: None });
         }
         inputs.extend(self.told.extract_if(.., |t| due(&t.0)).map(|t| Input::NoticeHeard(t.1)));
         for order in self.core.moment(now, inputs) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -149,7 +149,9 @@
                 Input::Group { whole, members } => self.group(whole, members),
                 Input::Handed { id, context } => handed.extend(self.handed(id, context)),
                 Input::Withdrawn(id) => self.withdrawn(id),
-                Input::TryEnded { id, attempt, outcome, over } => self.try_ended(id, attempt, outcome, over),
+                Input::TryEnded { id, attempt, outcome, over, report } => {
+                    self.try_ended(id, attempt, outcome, over, report)
+                }
                 Input::NoticeHeard(id) => {
                     self.ledger.keep(now, Record::Heard { id: id.0 }, None);
                     self.heard(id);
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -1,5 +1,5 @@
 //! What the core takes in and what it gives out: inputs, answers, tries, notices, orders. Knows no wire.
-use crate::interface::{DestId, HostId, Listed, MsgId, Nanos, News, Outcome};
+use crate::interface::{DestId, HostId, Listed, MsgId, Nanos, News, Outcome, Report};
 use crate::journal::End;
 use crate::request::RequestContext;
 use std::sync::Arc;
@@ -58,6 +58,8 @@
         attempt: u32,
         outcome: Outcome,
         over: bool,
+        /// What the answer told of its destination's limit.
+        report: Option<Report>,
     },
     /// A partner's word on when to come, told at this endpoint.
     ToldWait {
--- a/src/core/tries.rs
+++ b/src/core/tries.rs
@@ -2,7 +2,7 @@
 use super::held::{Out, Stage};
 use super::orders::{Order, Try};
 use super::Core;
-use crate::interface::{Ended, Event, HostId, MsgId, Nanos, Outcome};
+use crate::interface::{Ended, Event, HostId, MsgId, Nanos, Outcome, Report};
 use crate::journal::{End, Record};
 
 impl Core {
@@ -30,7 +30,11 @@
         }
     }
 
-    pub(super) fn try_ended(&mut self, id: MsgId, attempt: u32, outcome: Outcome, over: bool) {
+    pub(super) fn try_ended(
+        &mut self, id: MsgId, attempt: u32, outcome: Outcome, over: bool, report: Option<Report>,
+    ) {
+        // Guards the paces against a word that this deployment does not have.
+        let report = report.filter(|_| self.settings.limits_told);
         let Some(h) = self.held.get_mut(&id) else { return };
         let Some(out) = h.out.as_ref().filter(|o| o.attempt == attempt) else { return };
         let (took, sent) = (self.now - out.started, out.stage == Stage::Sent);
@@ -47,7 +51,7 @@
         }
         self.ran(id, may_have_run);
         self.plugins.outcome(&context, self.outlook(&context), &format!("{outcome:?}"));
-        self.events.push(Event::Ended(Ended { id, attempt, outcome, over, took, report: None }));
+        self.events.push(Event::Ended(Ended { id, attempt, outcome, over, took, report }));
         if outcome == Outcome::Ok || over {
             let end = if outcome == Outcome::Ok { End::Delivered } else { End::Withdrawn };
             if self.held[&id].end.is_none() {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::core::{Answer, Core, Input, Member, Notice, Order, Sighting, Try};
 use crate::request::RequestContext;
-use crate::{DestId, HostId, MsgId, Nanos, Outcome};
+use crate::{DestId, HostId, MsgId, Nanos, Outcome, Report};
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -101,8 +101,8 @@
         open(&self.core).may_go(clock::now(), id, attempt)
     }
 
-    pub fn try_ended(&self, id: MsgId, attempt: u32, outcome: Outcome, over: bool) {
-        self.say(Said::Happened(Input::TryEnded { id, attempt, outcome, over }));
+    pub fn try_ended(&self, id: MsgId, attempt: u32, outcome: Outcome, over: bool, report: Option<Report>) {
+        self.say(Said::Happened(Input::TryEnded { id, attempt, outcome, over, report }));
     }
 
     /// A partner told us to wait, whatever becomes of the try that it answered.
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -8,7 +8,7 @@
 use crate::core::Try;
 use crate::exchange::{Exchange, Work};
 use crate::settings::Site;
-use crate::{HostId, MsgId, Nanos, Outcome};
+use crate::{HostId, MsgId, Nanos, Outcome, Report};
 use pool::Pool;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -17,15 +17,16 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-/// How a try ended, and whether the endpoint says that the message is over.
+/// How a try ended, whether the endpoint says that the message is over, and what it told of its limit.
 pub struct Ending {
     pub outcome: Outcome,
     pub over: bool,
+    pub report: Option<Report>,
 }
 
 impl From<Outcome> for Ending {
     fn from(outcome: Outcome) -> Ending {
-        Ending { outcome, over: false }
+        Ending { outcome, over: false, report: None }
     }
 }
 
@@ -63,7 +64,7 @@
                 // Dropping the call closes its connection, which calls it off.
                 if let Some(handle) = out.remove(&(id, attempt)).filter(|h| !h.is_finished()) {
                     handle.abort();
-                    exchange.try_ended(id, attempt, Outcome::Cancelled, false);
+                    exchange.try_ended(id, attempt, Outcome::Cancelled, false, None);
                 }
             }
             // Calls that are out go on, and close theirs when they end.
@@ -83,6 +84,6 @@
     };
     let ending = timeout(limit, call).await.unwrap_or(Outcome::Timeout.into());
     let (message, dest) = (&one.context.name, one.context.dest);
-    log::debug!(message, outcome:? = ending.outcome, "try" = one.attempt, dest; "try ended");
-    exchange.try_ended(one.id, one.attempt, ending.outcome, ending.over);
+    log::debug!(message, outcome:? = ending.outcome, "try" = one.attempt, dest, report:? = ending.report; "try ended");
+    exchange.try_ended(one.id, one.attempt, ending.outcome, ending.over, ending.report);
 }
--- a/src/upstream/platform.rs
+++ b/src/upstream/platform.rs
@@ -4,7 +4,7 @@
 use super::Ending;
 use crate::core::Try;
 use crate::exchange::Exchange;
-use crate::{DestId, Nanos, Outcome};
+use crate::{DestId, Nanos, Outcome, Report};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, CONNECTION, RETRY_AFTER};
@@ -20,6 +20,10 @@
 /// free for the next call before that is decided.
 pub const LINGER: Duration = Duration::from_millis(3);
 
+/// The header with a destination's word on its limit, and the largest figure in it that is believed.
+const REPORT: &str = "x-load";
+const REPORT_MOST: f64 = 1e6;
+
 /// The longest wait that is heeded as it is told, in seconds: past any message's time, and short enough to be waited out.
 const WAIT_MOST: f64 = 3600.0;
 
@@ -150,7 +154,19 @@
         504 | 410 => Outcome::Moot,
         _ => Outcome::Error,
     };
-    Ending { outcome, over: status == StatusCode::GONE }
+    let report = headers.get(REPORT).and_then(|r| report(r.to_str().ok()?));
+    Ending { outcome, over: status == StatusCode::GONE, report }
+}
+
+/// What an answer tells of its destination's limit: the share of it that is left, and the calls a second that it allows,
+/// 0 for none. Guards the paces against what no endpoint can mean: it counts as no report.
+fn report(said: &str) -> Option<Report> {
+    let field = |name: &str| {
+        let fields = said.split(',').filter_map(|f| f.split_once('='));
+        let value = fields.filter(|f| f.0.trim() == name).map(|f| f.1).next()?;
+        value.trim().parse::<f64>().ok().filter(|v| (0.0..=REPORT_MOST).contains(v))
+    };
+    Some(Report { left: field("x0")?, limit: field("x1")? })
 }
 
 /// The wait that an answer tells. Guards against what no endpoint can mean: one that is no number, or not ahead, is
@@ -180,6 +196,21 @@
     use super::*;
     use rstest::rstest;
 
+    #[rstest]
+    #[case("x0=0.4,x1=25", Some((0.4, 25.0)))]
+    #[case(" x1 = 25 , x2=7, x0 = 0", Some((0.0, 25.0)))]
+    #[case("x0=0,x1=0", Some((0.0, 0.0)))]
+    #[case("x0=nan,x1=25", None)]
+    #[case("x0=0.4,x1=inf", None)]
+    #[case("x0=0.4,x1=1e300", None)]
+    #[case("x0=-1,x1=25", None)]
+    #[case("x0=0.4", None)]
+    #[case("x0=0.4,x1=", None)]
+    #[case("", None)]
+    fn a_report_that_cannot_be_meant_is_none(#[case] said: &str, #[case] expected: Option<(f64, f64)>) {
+        assert_eq!(report(said), expected.map(|(left, limit)| Report { left, limit }));
+    }
+
     #[rstest]
     #[case("0.3", Some(0.3))]
     #[case("3600", Some(3600.0))]
