--- a/src/client/guard.rs
+++ b/src/client/guard.rs
@@ -145,6 +145,10 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
+        // The client went, or this process broke its word.
+        if lock(&self.seat.use_).0 == Use::Open {
+            log::debug!("client connection: ended under a request");
+        }
         lock(&self.seats.taken).1.remove(&self.number);
         self.seats.freed.notify_one();
     }
