Outlive the last client connection by 100 ms at a planned restart, for the last answers

Ruled out: a notice that was not sent (all told), a message without an end in the log. Guess, not proven: its 202 was still on its way when the process went (main::run returned as soon as client::serve had seen its last connection end), so its client never heard that it was taken on.

--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -18,6 +18,9 @@
 
 /// How long answers may still go out once connections are being closed.
 pub const LAST_ANSWERS: Duration = Duration::from_millis(250);
+/// How long the process outlives its last client connection. Guards the last answers: one that is still on its way when the
+/// process goes may be lost with it, and what it took on counts as never heard.
+pub const FAREWELL: Duration = Duration::from_millis(100);
 const HANDSHAKE_FOR: Duration = Duration::from_secs(5);
 /// After a connection that could not be taken in.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
--- a/src/main.rs
+++ b/src/main.rs
@@ -111,6 +111,7 @@
     }
     exchange.wind_up().await;
     let _ = tokio::time::timeout(client::LAST_ANSWERS, serving).await;
+    tokio::time::sleep(client::FAREWELL).await;
     if let Some(fleet) = &fleet {
         fleet.leave().await;
     }
