--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -109,10 +109,9 @@
             Err(fault) => {
                 let pause = again.pause();
                 log::warn!(pause_ms = pause.as_millis() as u64; "discovery: {fault}; watching again after version {}", held.rev);
-                next = match asks.is_empty() {
-                    true => Instant::now() + pause,
-                    false => next,
-                };
+                if asks.is_empty() {
+                    next = Instant::now() + pause;
+                }
             }
         }
     }
--- a/src/hints.rs
+++ b/src/hints.rs
@@ -52,7 +52,7 @@
         let route = self.routes.entry(host.route).or_default();
         let seen = now - hint.age;
         match hint.news {
-            News::Wait { left } => route.told_by_another(now, left),
+            News::Wait { left } => route.told_another(now, left),
             News::Pace { rate } if route.cut_at < seen && rate.is_finite() => route.paced(now, rate),
             // Own experience wins over hearsay unless it is older.
             _ if host.own_at.is_some_and(|at| at >= seen) => {}
@@ -117,11 +117,6 @@
 }
 
 impl Route {
-    /// Guards "waits are heeded": a wait that the route told another counts here too, to the same end.
-    fn told_by_another(&mut self, now: Nanos, left: Nanos) {
-        self.wait_until = self.wait_until.max(now + left);
-    }
-
     fn paced(&mut self, now: Nanos, rate: f64) {
         if self.pace.is_none() {
             let rate = rate.max(PACE_LEAST);
--- a/src/state.rs
+++ b/src/state.rs
@@ -145,7 +145,12 @@
     }
     /// Guards "waits are heeded": the longest told wait stands.
     pub fn told(&mut self, now: Nanos, wait: Nanos) {
-        (self.wait_until, self.own_wait) = (self.wait_until.max(now + wait), self.own_wait.max(now + wait));
+        self.told_another(now, wait);
+        self.own_wait = self.own_wait.max(now + wait);
+    }
+    /// A wait that the route told another counts here too, to the same end.
+    pub fn told_another(&mut self, now: Nanos, wait: Nanos) {
+        self.wait_until = self.wait_until.max(now + wait);
     }
     /// When a call may go next.
     pub fn next(&self, now: Nanos) -> Nanos {
--- a/src/upstream/as2.rs
+++ b/src/upstream/as2.rs
@@ -41,11 +41,11 @@
         Err(fault) => return platform::broken(&partner.url, &fault),
     };
     let (head, body, seat) = match call.head().await {
-        (Ok(answer), seat) => {
+        Ok((answer, seat)) => {
             let (head, body) = answer.into_parts();
             (head, body, seat)
         }
-        (Err(fault), _) => return platform::broken(&partner.url, &fault),
+        Err(fault) => return platform::broken(&partner.url, &fault),
     };
     if !head.status.is_success() {
         return platform::ending(head.status, &head.headers);
@@ -57,9 +57,7 @@
             head.headers.get(CONTENT_TYPE).and_then(|t| t.to_str().ok()).unwrap_or_default().to_string();
         match Limited::new(body, RECEIPT_MOST).collect().await {
             Ok(text) => {
-                if let Some(seat) = seat {
-                    let _ = tokio::time::timeout(platform::LINGER, seat.settle()).await;
-                }
+                let _ = tokio::time::timeout(platform::LINGER, seat.settle()).await;
                 Some(as_text(&kind, &text.to_bytes()))
             }
             // Silent or gone before its receipt: it may have run.
--- a/src/upstream/platform.rs
+++ b/src/upstream/platform.rs
@@ -1,5 +1,5 @@
 //! The platform's encoding of a try: a call to an endpoint, and what its answer means.
-use super::pool::{Answer, Fault, Pool, Seat};
+use super::pool::{Fault, Pool, Seat};
 use super::tap::{Listener, Watch};
 use super::Ending;
 use crate::core::Try;
@@ -55,11 +55,11 @@
         () = watch.settled() => timeout(LINGER, call.head()).await.ok(),
     };
     match done {
-        Some((done, seat)) => judge(done, &watch, seat, &one.address).await,
+        Some(done) => judge(done, &watch, &one.address).await,
         None if watch.says_ok() => {
             tokio::spawn(timeout(BODY_FOR, async move {
-                let (answer, seat) = call.head().await;
-                read_out(answer?, seat).await
+                let (answer, seat) = call.head().await?;
+                read_out(answer, seat).await
             }));
             Outcome::Ok.into()
         }
@@ -87,10 +87,10 @@
 
 /// What came of a call. Guards the truth of it against answers that are spoilt: the call has run, and where the
 /// first line says 200 it is a delivery, whatever comes behind.
-async fn judge(done: Answer, watch: &Watch, seat: Option<Seat>, place: &str) -> Ending {
+async fn judge(done: Result<(Response<Incoming>, Seat), Fault>, watch: &Watch, place: &str) -> Ending {
     match done {
-        Ok(answer) if answer.status() == StatusCode::SWITCHING_PROTOCOLS => spoilt(place, "it is a 101"),
-        Ok(answer) => {
+        Ok((answer, _)) if answer.status() == StatusCode::SWITCHING_PROTOCOLS => spoilt(place, "it is a 101"),
+        Ok((answer, seat)) => {
             let mut ending = ending(answer.status(), answer.headers());
             if ending.outcome == Outcome::Full(None) && watch.is_first() && closes(&answer) {
                 ending.outcome = Outcome::Crowded;
@@ -124,11 +124,9 @@
 }
 
 /// Reads an answer's body, for the connection to be used again. One that is too long closes it.
-async fn read_out(answer: Response<Incoming>, seat: Option<Seat>) -> Result<(), Fault> {
+async fn read_out(answer: Response<Incoming>, seat: Seat) -> Result<(), Fault> {
     let _ = Limited::new(answer.into_body(), BODY_MOST).collect().await;
-    if let Some(seat) = seat {
-        seat.settle().await;
-    }
+    seat.settle().await;
     Ok(())
 }
 
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -65,12 +65,11 @@
 impl Call {
     /// Waits for the head of its answer; with it comes the seat, whose connection goes back to the others once the body
     /// has been read and the seat is let go. Let go before, it is closed.
-    pub async fn head(&mut self) -> (Answer, Option<Seat>) {
-        let done = match &mut self.out {
-            Some((answer, _)) => answer.await,
-            None => Err(Fault::Unsent),
-        };
-        (done, self.out.take().map(|o| o.1))
+    pub async fn head(&mut self) -> Result<(Response<Incoming>, Seat), Fault> {
+        let Some((answer, _)) = &mut self.out else { return Err(Fault::Unsent) };
+        let done = answer.await;
+        let seat = self.out.take().map(|out| out.1).ok_or(Fault::Unsent)?;
+        Ok((done?, seat))
     }
 }
 
--- a/src/upstream/tap.rs
+++ b/src/upstream/tap.rs
@@ -32,9 +32,8 @@
     /// The head has ended.
     whole: bool,
     listener: Option<Listener>,
-    /// Nothing more is to be sent; and who waits to read.
+    /// The sending is to be ended; and who waits to read.
     ending: bool,
-    ended: bool,
     reader: Option<Waker>,
 }
 
@@ -169,12 +168,12 @@
         let ending = {
             let mut passed = self.tap.passed();
             passed.reader = Some(cx.waker().clone());
-            passed.ending && !passed.ended
+            passed.ending
         };
         if ending {
             // It has failed on a connection that is broken, which the read says as well.
             let _ = ready!(Pin::new(&mut self.io).poll_shutdown(cx));
-            self.tap.passed().ended = true;
+            self.tap.passed().ending = false;
         }
         let before = buf.filled().len();
         let done = Pin::new(&mut self.io).poll_read(cx, buf);
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -73,11 +73,6 @@
     assert_eq!(took > Duration::from_millis(2500), in_turn, "{took:?}");
 }
 
-/// A chunk of an answer to a watch, behind its head.
-fn watch_of(text: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{text}\r\n", text.len())
-}
-
 /// What a watch does not bring counts as told 6 s after it fell silent, which may have been right behind its last word:
 /// by then it has been opened anew, also where further ones are as silent.
 #[rstest]
@@ -94,7 +89,9 @@
     let disco = Server::start(move |heard, n| match (heard.first.starts_with("GET"), n) {
         (false, _) => say("204 No Content", "", ""),
         (true, 0) => watch(&first),
-        (true, n) if n <= silent => Reply::Hold(if word.is_empty() { String::new() } else { watch_of(word) }),
+        (true, n) if n <= silent => {
+            Reply::Hold(if word.is_empty() { String::new() } else { chunked([word.as_bytes()]) })
+        }
         (true, _) => watch(&fresh),
     });
     let daemon = setup(&disco, known).start();
@@ -118,13 +115,7 @@
     let change = list(3, &[(7, old.addr), (7, new.addr)]).replacen("Ready", "Terminating", 1);
     let change = indent(change.replacen("true", "false", 1));
     let texts = [&first[..], "\n", "  \"uid\": \"s-9\",\n}\n", &change];
-    let chunks: Vec<String> = texts
-        .concat()
-        .as_bytes()
-        .chunks(37)
-        .map(|c| format!("{:x}\r\n{}\r\n", c.len(), String::from_utf8_lossy(c)))
-        .collect();
-    let said = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{}", chunks.concat());
+    let said = chunked(texts.concat().as_bytes().chunks(37));
     let disco = Server::start(move |heard, n| match (heard.first.starts_with("GET"), n) {
         (true, 0) => Reply::Hold(said.clone()),
         (true, _) => Reply::Hold(String::new()),
@@ -145,7 +136,8 @@
 fn a_list_without_end_is_given_up_and_asked_for_anew() {
     let old = Server::always("200 OK");
     let known = list(1, &[(7, old.addr)]);
-    let endless = watch_of(&format!("{{\"rev\":2,\"all\":true,\"targets\":[{}", " ".repeat(10 << 20)));
+    let endless = format!("{{\"rev\":2,\"all\":true,\"targets\":[{}", " ".repeat(10 << 20));
+    let endless = chunked([endless.as_bytes()]);
     let fresh = list(3, &[(7, old.addr)]);
     let disco = Server::start(move |heard, n| match (heard.first.starts_with("GET"), n) {
         (true, 0..2) => Reply::Say(endless.clone()),
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -18,7 +18,6 @@
     ended: bool,
 }
 
-/// The upstream group: its members by number, and whose wait a member's word is.
 #[derive(Default)]
 struct Oracle {
     zones: usize,
@@ -33,6 +32,15 @@
     u64::from(host % 3)
 }
 
+/// Whose wait a host's word is.
+fn route(apart: bool, host: u32) -> u64 {
+    if apart {
+        u64::from(host)
+    } else {
+        dest_of(host)
+    }
+}
+
 impl Oracle {
     fn check(&mut self, now: Nanos, actions: &[Action], set: &Settings) {
         for a in actions {
@@ -61,14 +69,6 @@
         assert!(out <= set.slots * per_call, "{out} out");
     }
 
-    fn route(&self, host: u32) -> u64 {
-        if self.apart {
-            u64::from(host)
-        } else {
-            dest_of(host)
-        }
-    }
-
     fn end(&mut self, now: Nanos, id: u64) {
         let m = self.seen.get_mut(&id).expect("a known message");
         assert!(!m.ended, "{id} ends twice");
@@ -78,7 +78,10 @@
 
     fn sent(&mut self, now: Nanos, id: u64, host: u32, set: &Settings) {
         assert!(self.draining != Some(host), "sent to a draining host");
-        assert!(self.waits.get(&self.route(host)).is_none_or(|w| now >= *w), "sent before a wait was over");
+        assert!(
+            self.waits.get(&route(self.apart, host)).is_none_or(|w| now >= *w),
+            "sent before a wait was over"
+        );
         if let Some(key) = self.seen[&id].key {
             let earlier =
                 |(i, m): (&u64, &Seen)| m.key == Some(key) && (*i < id && !m.ended || m.out.is_some());
@@ -94,8 +97,7 @@
                 Effect::Once => panic!("an unsafe message goes again"),
                 Effect::Keyed { group, window } => {
                     assert!(now - first < window, "past the window");
-                    let zone_ok =
-                        group == Group::All || self.zones == 0 || host as usize % self.zones == zone;
+                    let zone_ok = group == Group::All || host as usize % self.zones == zone;
                     assert!(zone_ok, "another zone does not drop the repeat");
                 }
             }
@@ -107,7 +109,7 @@
     fn outcome(&mut self, now: Nanos, id: u64, outcome: Outcome, set: &Settings) {
         let m = self.seen.get_mut(&id).expect("a known message");
         let (host, at) = m.out.take().expect("out");
-        let route = if self.apart { u64::from(host) } else { dest_of(host) };
+        let route = route(self.apart, host);
         match outcome {
             Outcome::Full(Some(wait)) => {
                 let until = self.waits.entry(route).or_default();
@@ -115,7 +117,7 @@
             }
             Outcome::Full(None) | Outcome::ConnectFailed | Outcome::Moot => {}
             _ => {
-                m.first_maybe.get_or_insert((at, host as usize % self.zones.max(1)));
+                m.first_maybe.get_or_insert((at, host as usize % self.zones));
             }
         }
         m.ended |= outcome == Outcome::Ok;
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -169,9 +169,14 @@
 
 /// The answer to a watch: this list, and then nothing more.
 pub fn watch(list: &str) -> Reply {
-    let line = format!("{list}\n");
-    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
-    Reply::Hold(format!("{head}{:x}\r\n{line}\r\n", line.len()))
+    Reply::Hold(chunked([format!("{list}\n").as_bytes()]))
+}
+
+/// The head of an answer in chunks that goes on, and these chunks.
+pub fn chunked<'a>(chunks: impl IntoIterator<Item = &'a [u8]>) -> String {
+    let chunk = |c: &[u8]| format!("{:x}\r\n{}\r\n", c.len(), String::from_utf8_lossy(c));
+    let chunks: String = chunks.into_iter().map(chunk).collect();
+    format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{chunks}")
 }
 
 pub fn list(rev: u64, endpoints: &[(u64, SocketAddr)]) -> String {
