Give operators an address: readiness, figures, and endpoints taken out by hand

One that is called back counts as returned from an outage.

Weighed: a file of its own for what is out (a second thing to fsync, rename and hand over), figures taken by a scan of what is held on request (a pause for messages), axum::serve on the loop that forwards (load would delay its answers).

--- a/src/core/door.rs
+++ b/src/core/door.rs
@@ -2,6 +2,7 @@
 use super::held::{weigh, Held};
 use super::orders::{Answer, Order};
 use super::Core;
+use crate::figures::Ending;
 use crate::interface::{Action, Event, MsgId, Nanos};
 use crate::journal::{self, End, Record};
 use crate::plugins::Verdict;
@@ -15,7 +16,7 @@
 impl Core {
     /// Decides what can be told at once; else hands the message to the module, and gives its id.
     pub(super) fn handed(&mut self, id: MsgId, mut context: RequestContext) -> Option<MsgId> {
-        let weight = weigh(&context);
+        let (weight, class) = (weigh(&context), context.class);
         let answer = if let Some(delivered) = self.past.delivered(&context.name, &context.repeat_key) {
             if delivered {
                 Answer::Delivered
@@ -54,7 +55,7 @@
             log::info!(message = context.name, dest = context.dest; "reject: a script's word");
             Answer::Reject(self.come_back())
         };
-        self.orders.push(Order::Answer(id, answer));
+        self.answered(id, class, answer);
         None
     }
 
@@ -117,10 +118,24 @@
             if answer != Answer::Taken {
                 self.forget(*id);
             }
-            self.orders.push(Order::Answer(*id, answer));
+            self.answered(*id, context.class, answer);
         }
     }
 
+    /// The one place where a request has its answer, and where one that ends with it is counted.
+    fn answered(&mut self, id: MsgId, class: usize, answer: Answer) {
+        let ending = match answer {
+            Answer::Taken => None,
+            Answer::Delivered => Some(Ending::Fulfilled),
+            Answer::Reject(_) => Some(Ending::Throttled),
+            Answer::Unknown | Answer::Failed => Some(Ending::Faulted),
+        };
+        if let Some(ending) = ending {
+            self.figures.ended(class, ending);
+        }
+        self.orders.push(Order::Answer(id, answer));
+    }
+
     /// Whether the journal has the message.
     pub(super) fn take_on(&mut self, id: MsgId) -> bool {
         let Some(h) = self.held.get(&id) else { return false };
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -1,4 +1,5 @@
 //! Ends: told once, kept until they are heard of, remembered for repeats.
+use super::hand::ending;
 use super::held::{owes_word, Stage};
 use super::orders::Order;
 use super::Core;
@@ -30,6 +31,9 @@
         let written = self.ledger.first(now, &record(end));
         let end = if written { end } else { self.end_unwritten(&context, end) };
         self.close(id, end);
+        if let Some(ending) = ending(end) {
+            self.figures.ended(context.class, ending);
+        }
         let Some(h) = self.held.get_mut(&id) else { return };
         let word = owes_word(&context, end).then(|| Order::Notice(h.notice(id, end)));
         if written {
--- a/src/core/group.rs
+++ b/src/core/group.rs
@@ -1,7 +1,7 @@
 //! What discovery lists: the members of the upstream group, from their first line to their last try.
 use super::orders::{Member, Order, Sighting};
 use super::Core;
-use crate::interface::{DestId, Entry, Event, Hint, HostId, Listed, Nanos};
+use crate::interface::{Event, Hint, HostId, Listed, Nanos};
 use std::collections::BTreeSet;
 
 impl Core {
@@ -33,8 +33,7 @@
                 HostId(self.next_host)
             });
             self.dests.insert(m.dest);
-            let (zone, kind, dest, state, rate) = (m.zone, m.kind, DestId(m.dest), m.state, m.rate);
-            entries.push(Entry { host, zone, kind, dest, state, rate });
+            entries.push(self.entry(host, &m));
             self.hosts.insert(host, m);
         }
         let named: BTreeSet<HostId> = entries.iter().map(|e| e.host).collect();
@@ -56,10 +55,12 @@
         if self.leaving.is_empty() {
             return;
         }
-        for host in self.leaving.extract_if(.., |h| !self.busy.at(*h)) {
+        let idle: Vec<HostId> = self.leaving.extract_if(.., |h| !self.busy.at(*h)).collect();
+        for host in idle {
             if let Some(m) = self.hosts.remove(&host) {
                 log::debug!(host = m.uid, dest = m.dest; "retired");
                 self.uids.remove(&m.uid);
+                self.forget_listed(&m.uid);
                 self.orders.push(Order::Release(host));
             }
         }
--- a/src/core/held.rs
+++ b/src/core/held.rs
@@ -4,7 +4,7 @@
 use crate::journal::{End, Journal, Record, Taken};
 use crate::past::Past;
 use crate::request::RequestContext;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// How far a try has come.
@@ -99,10 +99,11 @@
 
 /// All that the journal must say, in the fewest records.
 pub(super) fn records<'a>(
-    held: &'a BTreeMap<MsgId, Held>, past: &'a Past, now: Nanos,
+    held: &'a BTreeMap<MsgId, Held>, past: &'a Past, suspended: &'a BTreeSet<String>, now: Nanos,
 ) -> impl Iterator<Item = Record> + 'a {
     let known = held.iter().filter(|(_, h)| h.logged);
-    past.records().chain(known.flat_map(move |(id, h)| h.records(*id, now)))
+    let out = suspended.iter().map(|uid| Record::Suspended { uid: uid.clone(), out: true });
+    out.chain(past.records()).chain(known.flat_map(move |(id, h)| h.records(*id, now)))
 }
 
 /// Bytes that the journal must keep for a message.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,21 +2,24 @@
 //! moment, keeps the journal in step, and says what is to be done. It knows no wire.
 //!
 //! By concern: `door` what is handed in, `tries` what is out, `ends` what is over, `group` whom there is to call,
-//! `restart` what the journal says at a start, `ledger` what must be written first.
+//! `restart` what the journal says at a start, `ledger` what must be written first, `hand` whom operators took out.
 mod busy;
 mod door;
 mod ends;
 #[cfg(test)]
 mod faults;
 mod group;
+mod hand;
 mod held;
 mod ledger;
 mod orders;
 mod restart;
 mod tries;
 
+pub use hand::Hand;
 pub use orders::{Answer, Input, Member, Notice, Order, Sighting, Try};
 
+use crate::figures::Figures;
 use crate::interface::{Action, Event, HostId, MsgId, Nanos, Settings};
 use crate::journal::{End, Journal, Record};
 use crate::logic::Balancer;
@@ -26,7 +29,7 @@
 use busy::Busy;
 use held::{records, Held};
 use ledger::Ledger;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 pub struct Core {
@@ -54,6 +57,10 @@
     /// Members that discovery does not list.
     standing: Vec<Member>,
     uids: HashMap<String, HostId>,
+    /// Endpoints that operators took out, until they call them back.
+    suspended: BTreeSet<String>,
+    /// Endpoints that are listed no more, the oldest first: an operator's call for one is no slip.
+    retired: VecDeque<String>,
     dests: BTreeSet<u64>,
     /// Bytes that the journal must keep for what is owed.
     weight: u64,
@@ -67,6 +74,9 @@
     paused: bool,
     /// When the next line on a full journal may be logged.
     room_log: Nanos,
+    figures: Arc<Figures>,
+    /// When the endpoints are counted next; never where nobody is shown the figures.
+    count_at: Option<Nanos>,
 }
 
 impl Core {
@@ -95,6 +105,8 @@
             next_host: 0,
             standing,
             uids: HashMap::new(),
+            suspended: BTreeSet::new(),
+            retired: VecDeque::new(),
             dests: BTreeSet::new(),
             weight: 0,
             next: 1,
@@ -105,6 +117,8 @@
             resting: false,
             paused: false,
             room_log: Nanos(0),
+            figures: Arc::new(Figures::new(&site.classes)),
+            count_at: None,
         };
         records.into_iter().for_each(|r| core.replay(r));
         core.resume();
@@ -182,14 +196,15 @@
             self.write_anew();
         }
         self.pause();
+        self.count();
         std::mem::take(&mut self.orders)
     }
 
     /// Where the journal could not be written, sees whether it can be again.
     fn retry_journal(&mut self) {
         let now = self.now;
-        let (held, past) = (&self.held, &self.past);
-        if let Some(done) = self.ledger.retry(now, || records(held, past, now)) {
+        let (held, past, out) = (&self.held, &self.past, &self.suspended);
+        if let Some(done) = self.ledger.retry(now, || records(held, past, out, now)) {
             self.orders.extend(done);
             if !self.ledger.stuck() {
                 self.paused = false;
@@ -212,7 +227,7 @@
     fn write_anew(&mut self) {
         let now = self.now;
         self.past.forget(now);
-        self.ledger.rewrite(now, records(&self.held, &self.past, now));
+        self.ledger.rewrite(now, records(&self.held, &self.past, &self.suspended, now));
     }
 
     fn carry_out(&mut self, action: Action) {
--- a/src/core/restart.rs
+++ b/src/core/restart.rs
@@ -52,6 +52,13 @@
                 }
             }
             Record::Heard { id } => self.heard(MsgId(id)),
+            Record::Suspended { uid, out } => {
+                if out {
+                    self.suspended.insert(uid);
+                } else {
+                    self.suspended.remove(&uid);
+                }
+            }
             Record::Past { name, repeat_key, until, delivered } => {
                 self.past.add(name, repeat_key, Nanos(until), delivered)
             }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -1,7 +1,8 @@
 //! The one object in which client side and server side meet. Clients hand requests in and wait for answers;
 //! the server side takes tries and notices from it and brings their outcomes back. Neither knows the other.
 use crate::clock;
-use crate::core::{Answer, Core, Input, Member, Notice, Order, Sighting, Try};
+use crate::core::{Answer, Core, Hand, Input, Member, Notice, Order, Sighting, Try};
+use crate::figures::Figures;
 use crate::request::RequestContext;
 use crate::{DestId, HostId, MsgId, Nanos, Outcome, Report};
 use bytes::Bytes;
@@ -31,6 +32,7 @@
     Word(String, Bytes),
     WindUp(oneshot::Sender<()>),
     Known(oneshot::Sender<Vec<Sighting>>),
+    Hand { uid: String, out: bool, tell: oneshot::Sender<Hand> },
 }
 
 /// What the server side does for the exchange.
@@ -126,6 +128,18 @@
         known.await.unwrap_or_default()
     }
 
+    /// An operator takes an endpoint out, or calls it back; answered once that holds.
+    pub async fn hand(&self, uid: String, out: bool) -> Hand {
+        let (tell, done) = oneshot::channel();
+        self.say(Said::Hand { uid, out, tell });
+        done.await.unwrap_or(Hand::Unwritten)
+    }
+
+    /// What operators are shown, kept from now on.
+    pub fn figures(&self) -> Arc<Figures> {
+        open(&self.core).shown(clock::now())
+    }
+
     /// Waits for a word that comes by way of a client connection: a receipt for what a try sent.
     pub fn expect(&self, topic: &str) -> oneshot::Receiver<Bytes> {
         let (tell, word) = oneshot::channel();
@@ -241,6 +255,7 @@
                 }
             },
             Said::Known(tell) => drop(tell.send(open(&self.core).known(clock::now()))),
+            Said::Hand { uid, out, tell } => drop(tell.send(open(&self.core).hand(clock::now(), uid, out))),
             Said::WindUp(tell) => *winding = Some((tokio::time::Instant::now(), tell)),
         }
     }
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -179,6 +179,9 @@
     /// Where discovery is; else the configuration's.
     #[arg(long, env = "RELAY_DISCOVERY", value_name = "HOST:PORT")]
     pub discovery: Option<String>,
+    /// Where operators call; else the configuration's, and without that nobody listens for them.
+    #[arg(long, env = "RELAY_MGMT", value_name = "IP:PORT")]
+    pub mgmt: Option<SocketAddr>,
     #[command(flatten)]
     pub log: Log,
     /// Which of the settings that stand before keys were flags, and not variables.
@@ -216,7 +219,7 @@
     let matches = Line::command().try_get_matches_from(words)?;
     let line = Line::from_arg_matches(&matches)?;
     let with_flags = |mut run: Run, matches: &ArgMatches| {
-        run.flagged = ["name", "listen", "discovery"]
+        run.flagged = ["name", "listen", "discovery", "mgmt"]
             .into_iter()
             .filter(|id| matches.value_source(id) == Some(ValueSource::CommandLine))
             .map(str::to_string)
--- a/src/hints.rs
+++ b/src/hints.rs
@@ -45,6 +45,11 @@
         hints
     }
 
+    /// Whether usual messages are kept from this host by choice: calls fail there, and only trials go.
+    pub fn avoids(&self, host: HostId) -> bool {
+        self.hosts.get(&host).is_some_and(|h| matches!(h.breaker, Breaker::Open { .. }))
+    }
+
     /// Takes a neighbour's word.
     pub(crate) fn hint(&mut self, hint: &Hint) {
         let (now, luck) = (self.now, self.random.next());
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -23,6 +23,8 @@
     Heard { id: u64 },
     /// A message that is over, whose repeats are answered alike until this time.
     Past { name: String, repeat_key: String, until: u64, delivered: bool },
+    /// An operator took an endpoint out, or called it back. Older programs read no further than the first of these.
+    Suspended { uid: String, out: bool },
 }
 
 /// What is kept of a message.
@@ -251,6 +253,9 @@
         Record::Past { name, repeat_key, until, delivered } => {
             out.byte(6).text(name).text(repeat_key).num(*until).byte((*delivered).into());
         }
+        Record::Suspended { uid, out: away } => {
+            out.byte(7).text(uid).byte((*away).into());
+        }
     }
     let mut line = out.0;
     let (size, sum) = ((line.len() - 8) as u32, crc32fast::hash(&line[8..]));
@@ -311,6 +316,7 @@
             until: i.num()?,
             delivered: i.byte()? == 1,
         },
+        7 => Record::Suspended { uid: i.text()?, out: i.byte()? == 1 },
         _ => return None,
     })
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,8 +2,8 @@
 #![forbid(unsafe_code)]
 use micaladder::flags::{self, Command, Run};
 use micaladder::{
-    acme, as2, backoff, check, client, clock, core, discovery, exchange, fault, journal, logger, neighbours,
-    notices, plugins, reload, settings, upstream,
+    acme, as2, backoff, check, client, clock, core, discovery, exchange, fault, journal, logger, mgmt,
+    neighbours, notices, plugins, reload, settings, upstream,
 };
 use std::error::Error;
 use std::process::ExitCode;
@@ -63,6 +63,8 @@
 
 async fn run(said: &Run) -> Result<(), Box<dyn Error>> {
     let config = settings::Config::read(said)?;
+    // Before all that may take time: until this process serves, the answer is no.
+    let mgmt = config.mgmt.map(|at| mgmt::Mgmt::start(at, &config.site.classes)).transpose()?;
     let mut terminate = signal(SignalKind::terminate())?;
     // Before anything is ready: without a handler, a SIGHUP ends the process.
     let hangup = signal(SignalKind::hangup())?;
@@ -104,6 +106,7 @@
     let front = client::Front { listener, routes, limits: client::platform::LIMITS, tls: None };
     let serving = tokio::spawn(client::serve(front, seats, exchange.closing()));
     log::info!("ready: {} listens on {}", config.name, config.listen);
+    mgmt.iter().for_each(|m| m.serves(Some(exchange.clone())));
     terminate.recv().await;
     log::info!("told to end: finishing calls");
     if let Some(fleet) = &fleet {
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -62,6 +62,7 @@
 fn whole(f: &File, faults: &mut Faults) {
     faults.unless(!f.name.is_empty(), "name", "is empty");
     faults.socket_address(&f.listen, "listen");
+    f.mgmt.iter().for_each(|m| faults.socket_address(m, "mgmt"));
     faults.unless(is_address(&f.discovery), "discovery", format!("no address: {:?}", f.discovery));
     if u64::from_str_radix(&f.seed, 16).is_err() {
         faults.add("seed", format!("not up to 16 hexadecimal digits: {:?}", f.seed));
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -17,6 +17,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: String,
+    /// Where operators call; none: nobody listens for them.
+    pub mgmt: Option<SocketAddr>,
     pub state: PathBuf,
     /// Bytes that the lasting folder may hold.
     pub disk: u64,
@@ -35,6 +37,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    mgmt: Option<String>,
 }
 
 /// The settings: the module's, and the names that the wires use.
@@ -75,6 +78,7 @@
     discovery: String,
     seed: String,
     limits: Limits,
+    mgmt: Option<String>,
     known: GroupUpdate,
     settings: Conf,
 }
@@ -214,6 +218,7 @@
         let differs = [
             ("name", self.name != fresh.name),
             ("listen", self.listen != fresh.listen),
+            ("mgmt", self.mgmt != fresh.mgmt),
             ("limits", (self.disk, self.sockets) != (fresh.disk, fresh.sockets)),
             ("settings", self.site != fresh.site),
         ];
@@ -225,10 +230,12 @@
         let path = run.files.config.clone();
         let file = read(&path)?;
         let listen = run.listen.map(|l| l.to_string());
+        let mgmt = run.mgmt.map(|m| m.to_string());
         let before = Before {
             name: run.before("name", run.name.clone(), &file.name),
             listen: run.before("listen", listen, &file.listen),
             discovery: run.before("discovery", run.discovery.clone(), &file.discovery),
+            mgmt: run.before("mgmt", mgmt, file.mgmt.as_deref().unwrap_or_default()),
         };
         Config::new(path, run.state.clone(), file, before)
     }
@@ -252,6 +259,7 @@
         let kept = before.clone();
         let listen = before.listen.unwrap_or(file.listen);
         let discovery = before.discovery.unwrap_or(file.discovery);
+        let mgmt = before.mgmt.or(file.mgmt).map(|m| m.parse().map_err(|e| format!("mgmt address {m}: {e}")));
         // Found here, and not by the first watch or notice that goes there: a reload must keep what works.
         if !is_address(&discovery) {
             return Err(format!("discovery {discovery}: no address").into());
@@ -260,6 +268,7 @@
             name: before.name.unwrap_or(file.name),
             listen: listen.parse().map_err(|e| format!("listen address {listen}: {e}"))?,
             discovery,
+            mgmt: mgmt.transpose()?,
             state,
             disk: (file.limits.disk_mb * 1e6) as u64,
             sockets: file.limits.sockets as usize,
