--- a/benches/held.rs
+++ b/benches/held.rs
@@ -91,7 +91,7 @@
     fn new(held: usize, open_cap: usize) -> World {
         let now = Nanos::from_secs(1000.0);
         let journal = Journal::on(Box::new(Nowhere), 1 << 50).expect("it takes everything");
-        let core = Core::new(&site(open_cap), 7, Vec::new(), Plugins::none(), journal, now);
+        let core = Core::new(&site(open_cap), 7, Vec::new(), Plugins::none(), journal, false, now);
         let mut world = World { core, now, next: 0, out: VecDeque::new(), heard: Vec::new() };
         let member = |dest: u64| Member {
             uid: format!("s-{dest}"),
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -6,9 +6,11 @@
 pub use guard::{Limits, Seats};
 
 use axum::Router;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::timeout;
 use tokio_rustls::rustls::crypto::ring::default_provider;
@@ -21,10 +23,28 @@
 /// How long the process outlives its last client connection. Guards the last answers: one that is still on its way when the
 /// process goes may be lost with it, and what it took on counts as never heard.
 pub const FAREWELL: Duration = Duration::from_millis(100);
+/// Connections that may stand before they are taken in, as the standard library has it.
+const QUEUE: u32 = 1024;
 const HANDSHAKE_FOR: Duration = Duration::from_secs(5);
 /// After a connection that could not be taken in.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
+/// Listens for clients. `shared`: another process of this user may listen at the same address, which it does while it takes
+/// this one's place; the kernel gives each new connection to one of them.
+///
+/// # Errors
+///
+/// The address cannot be listened at: it is taken, or not of this machine.
+pub fn listen(at: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    if shared {
+        socket.set_reuseport(true)?;
+    }
+    socket.bind(at)?;
+    socket.listen(QUEUE)
+}
+
 /// One front: where its clients connect, what they find there and what they are allowed.
 pub struct Front {
     pub listener: TcpListener,
@@ -71,7 +91,21 @@
             }
         }
     }
-    drop(front);
+    // Guards those that stand in its queue already: closing the listener would reset them. What still comes after that goes
+    // to the process that shares the address, or is refused.
+    if let Ok(listener) = front.listener.into_std() {
+        while let Ok((socket, _)) = listener.accept() {
+            let socket = socket.set_nonblocking(true).and_then(|()| TcpStream::from_std(socket));
+            match socket {
+                Ok(socket) => {
+                    let ticket = seats.admit().await;
+                    let (tls, routes) = (front.tls.clone(), front.routes.clone());
+                    tokio::spawn(attend(socket, tls, routes, front.limits, ticket, closing.clone()));
+                }
+                Err(e) => log::warn!("client connection not taken in: {e}"),
+            }
+        }
+    }
     seats.empty().await;
 }
 
--- a/src/core/door.rs
+++ b/src/core/door.rs
@@ -47,8 +47,9 @@
         } else if let Verdict::Pass(tags) = self.plugins.request(&context, self.outlook(&context)) {
             context.tags = tags;
             self.keep(id, context);
-            if let Some(h) = self.held.get(&id) {
-                self.events.push(Event::Message(h.message(id)));
+            if !self.stands_behind(id) {
+                let h = self.held.get(&id);
+                self.events.extend(h.map(|h| Event::Message(h.message(id))));
             }
             return Some(id);
         } else {
@@ -60,7 +61,7 @@
     }
 
     /// When a client that is turned away here may come again.
-    pub(super) fn come_back(&self) -> Option<Nanos> {
+    pub fn come_back(&self) -> Option<Nanos> {
         self.settings.retry_after.map(|top| Nanos::from_secs(1.0).min(top))
     }
 
--- a/src/core/faults.rs
+++ b/src/core/faults.rs
@@ -230,7 +230,7 @@
 
     fn start(disk: &ModelDisk, most: u64, seed: u64, now: Nanos) -> Core {
         let journal = Journal::on(Box::new(disk.clone()), most).expect("it opens");
-        let mut core = Core::new(&site(), seed, Vec::new(), Plugins::none(), journal, now);
+        let mut core = Core::new(&site(), seed, Vec::new(), Plugins::none(), journal, false, now);
         let members = (0..2).map(|n| Member {
             uid: format!("s-{n}"),
             address: "a".into(),
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -37,11 +37,20 @@
     anew: Option<Nanos>,
     pause: f64,
     back_at: Option<Nanos>,
+    gone: bool,
 }
 
 impl Ledger {
     pub fn new(journal: Journal) -> Ledger {
-        Ledger { journal, late: VecDeque::new(), again: None, anew: None, pause: PAUSE, back_at: None }
+        Ledger {
+            journal,
+            late: VecDeque::new(),
+            again: None,
+            anew: None,
+            pause: PAUSE,
+            back_at: None,
+            gone: false,
+        }
     }
 
     /// Whether the journal cannot be written.
@@ -49,6 +58,11 @@
         self.again.is_some()
     }
 
+    /// The journal is another process's from now on: nothing is written any more.
+    pub fn let_go(&mut self) {
+        self.gone = true;
+    }
+
     /// When `retry` is to be called.
     pub fn wake(&self) -> Option<Nanos> {
         self.again
@@ -61,12 +75,12 @@
 
     /// Whether the log should be written anew before a record of so many bytes is added.
     pub fn is_full(&self, now: Nanos, more: u64) -> bool {
-        !self.stuck() && self.anew.is_none_or(|at| now >= at) && self.journal.is_full(more)
+        !self.stuck() && !self.gone && self.anew.is_none_or(|at| now >= at) && self.journal.is_full(more)
     }
 
     /// Writes what must be in the journal before it happens. False: it must not happen.
     pub fn first(&mut self, now: Nanos, record: &Record) -> bool {
-        if self.stuck() {
+        if self.stuck() || self.gone {
             return false;
         }
         match self.journal.append(record) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,9 +2,11 @@
 //! moment, keeps the journal in step, and says what is to be done. It knows no wire.
 //!
 //! By concern: `door` what is handed in, `tries` what is out, `ends` what is over, `group` whom there is to call,
-//! `restart` what the journal says at a start, `ledger` what must be written first, `hand` whom operators took out.
+//! `restart` what the journal says at a start, `ledger` what must be written first, `hand` whom operators took out,
+//! `elder` a journal that changes hands.
 mod busy;
 mod door;
+mod elder;
 mod ends;
 #[cfg(test)]
 mod faults;
@@ -27,6 +29,7 @@
 use crate::plugins::Plugins;
 use crate::settings::Site;
 use busy::Busy;
+use elder::Elders;
 use held::{records, Held};
 use ledger::Ledger;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -75,15 +78,19 @@
     /// When the next line on a full journal may be logged.
     room_log: Nanos,
     figures: Arc<Figures>,
+    elders: Elders,
+    /// The keys of messages that are out at the elder.
+    elder_keys: HashMap<MsgId, u64>,
     /// When the endpoints are counted next; never where nobody is shown the figures.
     count_at: Option<Nanos>,
 }
 
 impl Core {
-    /// Takes up what the journal says is still owed.
+    /// Takes up what the journal says is still owed. `elder`: the process that wrote it may still have calls out, and says
+    /// what comes of them.
     pub fn new(
         site: &Arc<Site>, seed: u64, standing: Vec<Member>, plugins: Plugins,
-        (journal, records): (Journal, Vec<Record>), now: Nanos,
+        (journal, records): (Journal, Vec<Record>), elder: bool, now: Nanos,
     ) -> Core {
         let settings = site.module.clone();
         let mut core = Core {
@@ -118,10 +125,12 @@
             paused: false,
             room_log: Nanos(0),
             figures: Arc::new(Figures::new(&site.classes)),
+            elders: Elders::default(),
+            elder_keys: HashMap::new(),
             count_at: None,
         };
         records.into_iter().for_each(|r| core.replay(r));
-        core.resume();
+        core.resume(elder);
         core
     }
 
@@ -175,10 +184,13 @@
                     self.events.push(Event::ToldWait { host, dest, wait });
                 }
                 Input::Hearsay(sightings) => self.hearsay(sightings),
+                Input::ElderSaid(records) => self.elder_said(records),
+                Input::ElderGone => self.elder_gone(),
             }
         }
         // The journal may have failed since the last moment, when a try was about to start.
         self.pause();
+        self.look_after_elders();
         let mut actions = Vec::new();
         if !self.resting {
             if self.wake.is_some_and(|w| w <= now) {
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -1,6 +1,6 @@
 //! What the core takes in and what it gives out: inputs, answers, tries, notices, orders. Knows no wire.
 use crate::interface::{DestId, HostId, Listed, MsgId, Nanos, News, Outcome, Report};
-use crate::journal::End;
+use crate::journal::{End, Record};
 use crate::request::RequestContext;
 use std::sync::Arc;
 
@@ -70,6 +70,10 @@
     NoticeHeard(MsgId),
     /// What neighbours saw.
     Hearsay(Vec<Sighting>),
+    /// What the process that had the journal before says of its calls and of endpoints.
+    ElderSaid(Vec<Record>),
+    /// It has ended, or has no call out.
+    ElderGone,
 }
 
 /// One attempt at delivery.
--- a/src/core/restart.rs
+++ b/src/core/restart.rs
@@ -2,7 +2,7 @@
 use super::held::{owes_word, Out, Stage};
 use super::orders::Order;
 use super::Core;
-use crate::interface::{Event, HostId, MsgId, Nanos, Past as Before};
+use crate::interface::{HostId, MsgId, Nanos};
 use crate::journal::Record;
 use crate::request::RequestContext;
 
@@ -52,6 +52,8 @@
                 }
             }
             Record::Heard { id } => self.heard(MsgId(id)),
+            // These stand in `late` alone.
+            Record::Late { .. } | Record::Saw { .. } => {}
             Record::Suspended { uid, out } => {
                 if out {
                     self.suspended.insert(uid);
@@ -65,22 +67,30 @@
         }
     }
 
-    pub(super) fn resume(&mut self) {
+    pub(super) fn resume(&mut self, elder: bool) {
         let out: Vec<MsgId> = self.held.iter().filter(|(_, h)| h.out.is_some()).map(|(id, _)| *id).collect();
-        for id in out {
+        if elder {
+            self.leave_to_elder(&out);
+        }
+        for id in out.into_iter().filter(|_| !elder) {
             // Guards "no double effect" across restarts: a try that was out may have run.
             self.ran(id, true);
         }
         let now = self.now;
         self.past.forget(now);
-        for (id, h) in &self.held {
+        let all: Vec<MsgId> = self.held.keys().copied().collect();
+        for id in all {
+            let h = &self.held[&id];
             if let Some(end) = h.end {
-                self.orders.extend(owes_word(&h.context, end).then(|| Order::Notice(h.notice(*id, end))));
-            } else {
-                let past = Before { tries: h.tries, maybe: h.maybe };
-                self.events.push(Event::Resumed(h.message(*id), past));
+                self.orders.extend(owes_word(&h.context, end).then(|| Order::Notice(h.notice(id, end))));
+            } else if h.out.is_none() && !self.stands_behind(id) {
+                self.tell_module(id);
             }
         }
+        if elder {
+            // Guards the log against whoever wrote it before: what that one may still add goes to a file that is gone.
+            self.write_anew();
+        }
         if !self.held.is_empty() {
             log::info!(messages = self.held.len(); "taken up from the journal");
             self.wake = Some(now);
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -3,6 +3,8 @@
 use crate::clock;
 use crate::core::{Answer, Core, Hand, Input, Member, Notice, Order, Sighting, Try};
 use crate::figures::Figures;
+use crate::handover::Late;
+use crate::journal::Record;
 use crate::request::RequestContext;
 use crate::{DestId, HostId, MsgId, Nanos, Outcome, Report};
 use bytes::Bytes;
@@ -15,7 +17,7 @@
 /// After SIGTERM: how long new tries still start, and when the last of them is waited for no longer. The
 /// process must be gone before a SIGKILL that comes after 3.7 s.
 const TRIES_FOR: Duration = Duration::from_millis(1500);
-const GONE_BY: Duration = Duration::from_millis(3300);
+pub const GONE_BY: Duration = Duration::from_millis(3300);
 /// New connections still come for 0.4 s after SIGTERM.
 const CONNECTIONS_FOR: Duration = Duration::from_millis(500);
 
@@ -33,6 +35,8 @@
     WindUp(oneshot::Sender<()>),
     Known(oneshot::Sender<Vec<Sighting>>),
     Hand { uid: String, out: bool, tell: oneshot::Sender<Hand> },
+    Door { open: bool },
+    LetGo(Late, oneshot::Sender<()>),
 }
 
 /// What the server side does for the exchange.
@@ -81,6 +85,7 @@
             notices: notices_in,
             words: words_in,
             close,
+            late: None,
         };
         let core = desk.core.clone();
         tokio::spawn(desk.run(hear));
@@ -152,6 +157,39 @@
         self.say(Said::Word(topic, word));
     }
 
+    /// Closes client connections between requests, or leaves those alone that come from now on.
+    pub fn door(&self, open: bool) {
+        self.say(Said::Door { open });
+    }
+
+    /// Whether the journal cannot be handed on now.
+    pub fn bound(&self) -> bool {
+        open(&self.core).bound()
+    }
+
+    /// Lets the journal go, and writes here what this process knows and what still comes of its calls. Once this returns,
+    /// it writes the journal no more, takes nothing on and starts no try.
+    pub async fn let_go(&self, late: Late) {
+        let (tell, done) = oneshot::channel();
+        self.say(Said::LetGo(late, tell));
+        let _ = done.await;
+    }
+
+    /// Calls whose first byte may have gone out.
+    pub fn calls_out(&self) -> usize {
+        open(&self.core).calls_out()
+    }
+
+    /// What the process before this one says of its calls, and whether nothing more comes from it.
+    pub fn elder(&self, records: Vec<Record>, gone: bool) {
+        if !records.is_empty() {
+            self.say(Said::Happened(Input::ElderSaid(records)));
+        }
+        if gone {
+            self.say(Said::Happened(Input::ElderGone));
+        }
+    }
+
     /// Lets calls finish; returns when the process may end.
     pub async fn wind_up(&self) {
         let (tell, done) = oneshot::channel();
@@ -180,6 +218,8 @@
     notices: UnboundedSender<Notice>,
     words: UnboundedSender<Notice>,
     close: watch::Sender<bool>,
+    /// The journal is another process's; what comes of calls goes here.
+    late: Option<Late>,
 }
 
 impl Desk {
@@ -206,6 +246,10 @@
             while let Ok(said) = hear.try_recv() {
                 self.take(said, &mut inputs, &mut winding);
             }
+            if let Some(late) = &mut self.late {
+                afterwards(&self.core, late, inputs).into_iter().for_each(|o| drop(self.carry_out(o)));
+                continue;
+            }
             let orders = open(&self.core).moment(clock::now(), inputs);
             let mut gone = Vec::new();
             orders.into_iter().for_each(|o| gone.extend(self.carry_out(o)));
@@ -256,10 +300,22 @@
             },
             Said::Known(tell) => drop(tell.send(open(&self.core).known(clock::now()))),
             Said::Hand { uid, out, tell } => drop(tell.send(open(&self.core).hand(clock::now(), uid, out))),
+            Said::Door { open } => drop(self.close.send(!open)),
+            Said::LetGo(late, tell) => self.let_go(late, tell, inputs),
             Said::WindUp(tell) => *winding = Some((tokio::time::Instant::now(), tell)),
         }
     }
 
+    /// What was said before is taken in first, on the journal that is still this process's.
+    fn let_go(&mut self, mut late: Late, tell: oneshot::Sender<()>, inputs: &mut Vec<Input>) {
+        let now = clock::now();
+        let orders = open(&self.core).moment(now, std::mem::take(inputs));
+        orders.into_iter().for_each(|o| inputs.extend(self.carry_out(o)));
+        open(&self.core).let_go(now).iter().for_each(|record| late.add(record));
+        self.late = Some(late);
+        let _ = tell.send(());
+    }
+
     /// Returns a withdrawal where the client has not waited for its answer.
     fn carry_out(&mut self, order: Order) -> Option<Input> {
         match order {
@@ -277,6 +333,26 @@
     }
 }
 
+/// What happens to a process that has let the journal go: its calls end, and it takes nothing on.
+fn afterwards(core: &Shared, late: &mut Late, inputs: Vec<Input>) -> Vec<Order> {
+    let (now, mut core, mut orders) = (clock::now(), open(core), Vec::new());
+    for input in inputs {
+        match input {
+            Input::Handed { id, .. } => orders.push(Order::Answer(id, Answer::Reject(core.come_back()))),
+            Input::TryEnded { id, attempt, outcome, over, .. } => {
+                core.late(id, attempt, outcome, over).iter().for_each(|record| late.add(record));
+            }
+            Input::ToldWait { host, wait, .. } => {
+                core.late_wait(now, host, wait).iter().for_each(|record| late.add(record));
+            }
+            // The next process hears of these itself.
+            Input::Group { .. } | Input::Hearsay(_) | Input::NoticeHeard(_) | Input::Withdrawn(_) => {}
+            Input::ElderSaid(_) | Input::ElderGone => {}
+        }
+    }
+    orders
+}
+
 /// When winding up has its next step.
 fn next_step(since: tokio::time::Instant) -> tokio::time::Instant {
     let steps = [CONNECTIONS_FOR, TRIES_FOR, GONE_BY].map(|d| since + d);
--- /dev/null
+++ b/src/handover/mod.rs
@@ -0,0 +1,202 @@
+//! Two processes with one lasting folder, of which one at a time owns the journal: the new one asks, the old one lets go
+//! and ends the calls that it has out, and the new one hears what came of them. What is decided is `turn`; here are the
+//! files: each is held by a lock of the kernel's, which a kill frees. Design: `docs/design/handover.md`.
+//!
+//! | file | who holds it |
+//! | --- | --- |
+//! | `owner` | whoever owns the journal: no other process writes it |
+//! | `next` | a process that serves as soon as it may, and asks for the folder |
+//! | `late` | one that has let go and still has calls out; what came of them is in it |
+pub mod turn;
+
+use crate::journal::{self, Record};
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+/// What went wrong with a file of the hand-over.
+#[derive(Debug, thiserror::Error)]
+#[error("{path}: {what}: {why}; see that this process may write the folder and that it has room")]
+pub struct Fault {
+    path: PathBuf,
+    what: &'static str,
+    why: io::Error,
+}
+
+/// The lasting folder, as far as it is handed over.
+#[derive(Clone)]
+pub struct Folder(PathBuf);
+
+/// A file that this process holds until this is dropped, or the process ends in whatever way.
+pub struct Hold(#[allow(dead_code, reason = "its lock lives as long as the open file")] File);
+
+/// Which hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Name {
+    /// The journal's owner.
+    Owner,
+    /// Who asks for it.
+    Next,
+}
+
+impl Name {
+    fn file(self) -> &'static str {
+        match self {
+            Name::Owner => "owner",
+            Name::Next => "next",
+        }
+    }
+}
+
+const LATE: &str = "late";
+/// What came of calls is short; a file beyond this is not ours. Bounds what is read at once.
+const LATE_MOST: u64 = 8 << 20;
+
+fn locked(done: Result<(), TryLockError>) -> io::Result<bool> {
+    match done {
+        Ok(()) => Ok(true),
+        Err(TryLockError::WouldBlock) => Ok(false),
+        Err(TryLockError::Error(e)) => Err(e),
+    }
+}
+
+impl Folder {
+    /// The folder at this path; made where it is not there.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be made.
+    pub fn open(path: &Path) -> Result<Folder, Fault> {
+        let fault = |why| Fault { path: path.to_path_buf(), what: "no folder", why };
+        std::fs::create_dir_all(path).map_err(fault)?;
+        Ok(Folder(path.to_path_buf()))
+    }
+
+    fn file(&self, name: &str, what: &'static str) -> Result<File, Fault> {
+        let path = self.0.join(name);
+        let opened = OpenOptions::new().create(true).read(true).append(true).open(&path);
+        opened.map_err(|why| Fault { path, what, why })
+    }
+
+    /// Takes a hold; none while another process has it.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be opened or locked.
+    pub fn hold(&self, name: Name) -> Result<Option<Hold>, Fault> {
+        let file = self.file(name.file(), "cannot be opened")?;
+        let got = locked(file.try_lock());
+        let fault = |why| Fault { path: self.0.join(name.file()), what: "cannot be locked", why };
+        Ok(got.map_err(fault)?.then_some(Hold(file)))
+    }
+
+    /// Whether another process holds it. A file that is not there, or cannot be asked, is held by nobody.
+    pub fn is_held(&self, name: Name) -> bool {
+        let Ok(file) = File::open(self.0.join(name.file())) else { return false };
+        matches!(locked(file.try_lock_shared()), Ok(false))
+    }
+
+    /// Begins to write what comes of the calls that are still out; held until this is dropped.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be made, or an earlier process still holds it.
+    pub fn late(&self) -> Result<Late, Fault> {
+        let file = self.file(LATE, "cannot be opened")?;
+        let fault = |why| Fault { path: self.0.join(LATE), what: "cannot be held", why };
+        match locked(file.try_lock()).map_err(fault)? {
+            true => file.set_len(0).map_err(fault)?,
+            false => return Err(fault(io::Error::other("an earlier process still has calls out"))),
+        }
+        Ok(Late { file })
+    }
+
+    /// What an earlier process leaves behind, where it does.
+    pub fn left(&self) -> Option<Left> {
+        let file = OpenOptions::new().read(true).open(self.0.join(LATE)).ok()?;
+        Some(Left { file, read: 0, path: self.0.join(LATE) })
+    }
+}
+
+/// What comes of the calls of a process that has let go, in the journal's own form.
+pub struct Late {
+    file: File,
+}
+
+impl Late {
+    /// Adds a record. One that cannot be written is passed over: then that call may have run, as after a kill.
+    pub fn add(&mut self, record: &Record) {
+        if let Err(e) = self.file.write_all(&journal::encode(record)) {
+            log::error!("what came of a call cannot be handed on: {e}; it counts as one that may have run");
+        }
+    }
+}
+
+/// The same, as the new process reads it.
+pub struct Left {
+    file: File,
+    read: u64,
+    path: PathBuf,
+}
+
+impl Left {
+    /// What is new, and whether nothing more will come: the process that wrote it has ended or has no call out.
+    pub fn read(&mut self) -> (Vec<Record>, bool) {
+        // Before the reading: what was written before the lock fell is then all there.
+        let over = matches!(locked(self.file.try_lock_shared()), Ok(true));
+        let mut text = Vec::new();
+        let came = self.file.seek(SeekFrom::Start(self.read));
+        let came = came.and_then(|_| (&self.file).take(LATE_MOST).read_to_end(&mut text));
+        if let Err(e) = came {
+            log::warn!("{}: {e}; what it says is not known, and counts as may have run", self.path.display());
+            return (Vec::new(), true);
+        }
+        let (records, size) = journal::replay(&text);
+        self.read += size as u64;
+        (records, over)
+    }
+
+    /// All of it is in the journal now.
+    pub fn remove(self) {
+        if let Err(e) = std::fs::remove_file(&self.path) {
+            log::warn!("{}: {e}; it does no harm there", self.path.display());
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_hold_is_one_process_s_until_it_goes() {
+        let temp = tempfile::tempdir().expect("a folder");
+        let folder = Folder::open(&temp.path().join("state")).expect("made");
+        let held = folder.hold(Name::Owner).expect("a file");
+        assert!(held.is_some() && folder.is_held(Name::Owner) && !folder.is_held(Name::Next));
+        assert!(folder.hold(Name::Owner).expect("a file").is_none());
+        drop(held);
+        assert!(!folder.is_held(Name::Owner) && folder.hold(Name::Owner).expect("a file").is_some());
+    }
+
+    #[test]
+    fn what_is_late_is_read_as_it_comes_and_a_torn_end_is_waited_for() {
+        let temp = tempfile::tempdir().expect("a folder");
+        let folder = Folder::open(temp.path()).expect("made");
+        assert!(folder.left().is_none());
+        let mut late = folder.late().expect("made");
+        assert!(folder.late().is_err(), "one at a time");
+        let mut left = folder.left().expect("there");
+        let (first, second) = (Record::Heard { id: 1 }, Record::Heard { id: 2 });
+        late.add(&first);
+        assert_eq!(left.read(), (vec![first], false));
+        let whole = journal::encode(&second);
+        late.file.write_all(&whole[..5]).expect("written");
+        assert_eq!(left.read(), (vec![], false));
+        late.file.write_all(&whole[5..]).expect("written");
+        drop(late);
+        assert_eq!(left.read(), (vec![second], true));
+        left.remove();
+        assert!(folder.left().is_none());
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,7 +3,7 @@
 use std::ops::{Add, Sub};
 
 /// A point in time or a length of time, in nanoseconds; points count from an arbitrary zero.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Nanos(pub u64);
 
 impl Nanos {
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -25,6 +25,20 @@
     Past { name: String, repeat_key: String, until: u64, delivered: bool },
     /// An operator took an endpoint out, or called it back. Older programs read no further than the first of these.
     Suspended { uid: String, out: bool },
+    /// What came of a try that the process before this one had out when it let the journal go; `at` is when it started.
+    Late { id: u64, at: u64, how: Late },
+    /// What that process had seen of an endpoint, in the core's numbers.
+    Saw { uid: String, at: u64, kind: u8, values: [u64; 2] },
+}
+
+/// How such a try ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Late {
+    Delivered,
+    /// The endpoint says that nothing more is owed.
+    Over,
+    MayHaveRun,
+    NeverRan,
 }
 
 /// What is kept of a message.
@@ -74,7 +88,8 @@
 
 /// Each file counts in whole blocks of so many bytes.
 const BLOCK: u64 = 512;
-const FILES: u64 = 2;
+/// The log, the one that takes its place, and the three of a hand-over.
+const FILES: u64 = 5;
 const NAME: &str = "journal";
 const FRESH: &str = "journal.new";
 /// Bytes written at once while the log is written anew.
@@ -222,7 +237,7 @@
     encode(record).len() as u64
 }
 
-fn encode(record: &Record) -> Vec<u8> {
+pub(crate) fn encode(record: &Record) -> Vec<u8> {
     let mut out = Out(vec![0; 8]);
     match record {
         Record::Taken(t) => {
@@ -256,6 +271,18 @@
         Record::Suspended { uid, out: away } => {
             out.byte(7).text(uid).byte((*away).into());
         }
+        Record::Late { id, at, how } => {
+            let how = match how {
+                Late::Delivered => 0,
+                Late::Over => 1,
+                Late::MayHaveRun => 2,
+                Late::NeverRan => 3,
+            };
+            out.byte(8).num(*id).num(*at).byte(how);
+        }
+        Record::Saw { uid, at, kind, values } => {
+            out.byte(9).text(uid).num(*at).byte(*kind).num(values[0]).num(values[1]);
+        }
     }
     let mut line = out.0;
     let (size, sum) = ((line.len() - 8) as u32, crc32fast::hash(&line[8..]));
@@ -317,6 +344,12 @@
             delivered: i.byte()? == 1,
         },
         7 => Record::Suspended { uid: i.text()?, out: i.byte()? == 1 },
+        8 => {
+            let (id, at, how) = (i.num()?, i.num()?, i.byte()?);
+            let all = [Late::Delivered, Late::Over, Late::MayHaveRun, Late::NeverRan];
+            Record::Late { id, at, how: *all.get(how as usize)? }
+        }
+        9 => Record::Saw { uid: i.text()?, at: i.num()?, kind: i.byte()?, values: [i.num()?, i.num()?] },
         _ => return None,
     })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod figures;
 pub mod flags;
 pub mod fleet;
+pub mod handover;
 pub mod journal;
 pub mod logger;
 pub mod mgmt;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,8 @@
 //! The daemon: wires its parts together and sees them through start and stop.
 #![forbid(unsafe_code)]
 use micaladder::flags::{self, Command, Run};
+use micaladder::handover::turn::{Do, Seen, Stage, Turn, LOOK_EACH};
+use micaladder::handover::{Folder, Hold, Left, Name};
 use micaladder::{
     acme, as2, backoff, check, client, clock, core, discovery, exchange, fault, journal, logger, mgmt,
     neighbours, notices, plugins, reload, settings, upstream,
@@ -9,7 +11,8 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 fn main() -> ExitCode {
     let command = match flags::read(std::env::args_os()) {
@@ -51,30 +54,98 @@
 fn start(settings: &Run) -> ExitCode {
     let log = &settings.log;
     logger::install(&log.filter, log.format, log.burst);
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.map_err(Into::into).and_then(|r| r.block_on(run(settings))) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            log::error!("cannot go on: {fault}");
-            ExitCode::FAILURE
+    let mut process = Process::default();
+    loop {
+        // One for each time that the journal is this process's: what is left of it when it changes hands ends with it.
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        match runtime.map_err(Into::into).and_then(|r| r.block_on(run(settings, &mut process))) {
+            Ok(Done::Ended) => return ExitCode::SUCCESS,
+            Ok(Done::HandedOver) => process.has_left = true,
+            Err(fault) => {
+                log::error!("cannot go on: {fault}");
+                return ExitCode::FAILURE;
+            }
         }
     }
 }
 
-async fn run(said: &Run) -> Result<(), Box<dyn Error>> {
+/// What outlives a change of the journal's owner.
+#[derive(Default)]
+struct Process {
+    mgmt: Option<mgmt::Mgmt>,
+    /// It has handed the journal on: it takes it again only if nobody has it, and asks for it no more.
+    has_left: bool,
+}
+
+/// How a time as the journal's owner, or a wait for that, ended.
+enum Done {
+    Ended,
+    HandedOver,
+}
+
+/// Waits for the journal. A process that operators look after (`mgmt`) asks for it and stands ready at the clients' address.
+async fn own(
+    config: &settings::Config, folder: &Folder, turn: &mut Turn, asks: bool, terminate: &mut Signal,
+) -> Result<Option<(Hold, Option<TcpListener>)>, Box<dyn Error>> {
+    let (mut next, mut listener, mut told) = (None, None, false);
+    loop {
+        let owner = folder.hold(Name::Owner)?;
+        if turn.look(clock::now(), Seen { owns: owner.is_some(), ..Seen::default() }) == Some(Do::Serve) {
+            return Ok(owner.map(|o| (o, listener)));
+        }
+        if !told {
+            log::info!(asks; "another process owns the folder; waiting for it");
+            told = true;
+        }
+        if asks && next.is_none() {
+            // Ready first: from when it asks, some clients come here.
+            listener = listener.or(Some(client::listen(config.listen, true)?));
+            next = folder.hold(Name::Next)?;
+        }
+        tokio::select! {
+            _ = terminate.recv() => return Ok(None),
+            () = tokio::time::sleep(Duration::from_secs_f64(LOOK_EACH)) => {}
+        }
+    }
+}
+
+/// Hears what the process before says of its calls, until nothing more comes from it.
+async fn hear_elder(mut left: Left, exchange: exchange::Exchange) {
+    loop {
+        let (records, over) = left.read();
+        exchange.elder(records, over);
+        if over {
+            return left.remove();
+        }
+        tokio::time::sleep(Duration::from_secs_f64(LOOK_EACH)).await;
+    }
+}
+
+async fn run(said: &Run, process: &mut Process) -> Result<Done, Box<dyn Error>> {
     let config = settings::Config::read(said)?;
-    // Before all that may take time: until this process serves, the answer is no.
-    let mgmt = config.mgmt.map(|at| mgmt::Mgmt::start(at, &config.site.classes)).transpose()?;
+    if let (Some(at), None) = (config.mgmt, &process.mgmt) {
+        // Before all that may take time: until this process serves, the answer is no.
+        process.mgmt = Some(mgmt::Mgmt::start(at, &config.site.classes)?);
+    }
     let mut terminate = signal(SignalKind::terminate())?;
     // Before anything is ready: without a handler, a SIGHUP ends the process.
     let hangup = signal(SignalKind::hangup())?;
+    let (folder, mut turn) = (Folder::open(&config.state)?, Turn::new());
+    let asks = process.mgmt.is_some() && !process.has_left;
+    let owned = own(&config, &folder, &mut turn, asks, &mut terminate).await?;
+    let Some((owner, listener)) = owned else { return Ok(Done::Ended) };
+    let left = folder.left();
     let journal = journal::Journal::open(&config.state, config.disk)?;
     let book = as2::book(&said.files.as2)?.map(Arc::new);
     let standing = book.as_ref().map(|b| b.members()).unwrap_or_default();
     let plugins = plugins::Plugins::load(&said.files.plugins);
-    let core = core::Core::new(&config.site, config.seed, standing, plugins, journal, clock::now());
+    let (elder, now) = (left.is_some(), clock::now());
+    let core = core::Core::new(&config.site, config.seed, standing, plugins, journal, elder, now);
     let (exchange, exchange::Works { tries, notices, words }) = exchange::Exchange::new(core);
     exchange.regroup(true, discovery::members(&config.site, &config.known));
+    if let Some(left) = left {
+        tokio::spawn(hear_elder(left, exchange.clone()));
+    }
     tokio::spawn(upstream::run(config.site.clone(), book.clone(), exchange.clone(), tries));
     let (moves, discovery) = tokio::sync::watch::channel(config.discovery.clone());
     let (told, list) = tokio::sync::watch::channel(config.known.rev);
@@ -87,7 +158,7 @@
     tokio::spawn(discovery::run(config.site.clone(), held, discovery, exchange.clone(), again));
     let seats = client::Seats::new(config.sockets / 3);
     if let Some(book) = book {
-        let listener = tokio::net::TcpListener::bind(&book.listen).await?;
+        let listener = TcpListener::bind(&book.listen).await?;
         log::info!("AS2 front listens on {}", book.listen);
         tokio::spawn(client::as2::words(book.clone(), exchange.clone(), words));
         let authority = book.acme.clone();
@@ -101,13 +172,59 @@
         let front = client::Front { listener, routes, limits: client::as2::LIMITS, tls };
         tokio::spawn(client::serve(front, seats.clone(), exchange.closing()));
     }
-    let listener = tokio::net::TcpListener::bind(config.listen).await?;
-    let routes = client::platform::routes(config.site.clone(), exchange.clone());
-    let front = client::Front { listener, routes, limits: client::platform::LIMITS, tls: None };
-    let serving = tokio::spawn(client::serve(front, seats, exchange.closing()));
+    let shared = process.mgmt.is_some();
+    let open = |listener: TcpListener| {
+        let routes = client::platform::routes(config.site.clone(), exchange.clone());
+        let front = client::Front { listener, routes, limits: client::platform::LIMITS, tls: None };
+        tokio::spawn(client::serve(front, seats.clone(), exchange.closing()))
+    };
+    let mut serving = open(match listener {
+        Some(listener) => listener,
+        None => client::listen(config.listen, shared)?,
+    });
     log::info!("ready: {} listens on {}", config.name, config.listen);
-    mgmt.iter().for_each(|m| m.serves(Some(exchange.clone())));
-    terminate.recv().await;
+    process.mgmt.iter().for_each(|m| m.serves(Some(exchange.clone())));
+    loop {
+        // Nobody asks where no operator starts a second process; and then nothing is looked at.
+        tokio::select! {
+            _ = terminate.recv() => break,
+            () = tokio::time::sleep(Duration::from_secs_f64(LOOK_EACH)), if shared => {}
+        }
+        let clients = !serving.is_finished();
+        let (asked, bound) = (folder.is_held(Name::Next), exchange.bound());
+        match turn.look(clock::now(), Seen { asked, clients, bound, ..Seen::default() }) {
+            None => {}
+            Some(Do::Close) => {
+                log::info!("another process asks for the folder: handing over");
+                exchange.door(false);
+            }
+            Some(Do::Open) => {
+                log::warn!(
+                    "the process that asked is gone, or the journal cannot be handed on: serving again"
+                );
+                serving.abort();
+                exchange.door(true);
+                serving = open(client::listen(config.listen, shared)?);
+            }
+            Some(Do::LetGo) => {
+                // Held before the journal is let go, or the next one would take these calls for lost.
+                let late = match folder.late() {
+                    Ok(late) => late,
+                    Err(fault) => {
+                        log::error!("not handed over: {fault}");
+                        turn.stage = Stage::Closing { since: clock::now() };
+                        continue;
+                    }
+                };
+                process.mgmt.iter().for_each(|m| m.serves(None));
+                exchange.let_go(late).await;
+                drop(owner);
+                log::info!(calls = exchange.calls_out(); "handed over; ending the calls that are out");
+                return Ok(end_calls(&exchange, &mut turn, &mut terminate).await);
+            }
+            Some(Do::Serve | Do::Forget) => {}
+        }
+    }
     log::info!("told to end: finishing calls");
     if let Some(fleet) = &fleet {
         fleet.drain().await;
@@ -119,5 +236,25 @@
         fleet.leave().await;
     }
     log::info!("ended");
-    Ok(())
+    Ok(Done::Ended)
+}
+
+/// After a hand-over: until the calls that are out have ended, or the process is told to end and has no time left.
+async fn end_calls(exchange: &exchange::Exchange, turn: &mut Turn, terminate: &mut Signal) -> Done {
+    let mut gone_by = None;
+    loop {
+        let seen = Seen { calls: exchange.calls_out() > 0, ..Seen::default() };
+        let forgets = turn.look(clock::now(), seen) == Some(Do::Forget);
+        if forgets || gone_by.is_some_and(|at| tokio::time::Instant::now() >= at) {
+            log::info!("calls ended, or given up for lack of time");
+            return if gone_by.is_some() { Done::Ended } else { Done::HandedOver };
+        }
+        tokio::select! {
+            _ = terminate.recv(), if gone_by.is_none() => {
+                log::info!("told to end: finishing calls");
+                gone_by = Some(tokio::time::Instant::now() + exchange::GONE_BY);
+            }
+            () = tokio::time::sleep(Duration::from_secs_f64(LOOK_EACH)) => {}
+        }
+    }
 }
--- a/src/mgmt.rs
+++ b/src/mgmt.rs
@@ -37,10 +37,13 @@
 /// After a caller that could not be taken in.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
+/// Whom calls for endpoints go to, and what is shown.
+type Serving = (Exchange, Arc<Figures>);
+
 /// What the operators' address shows: nothing yet, until the process serves.
 #[derive(Clone)]
 pub struct Mgmt {
-    serving: Arc<Mutex<Option<(Exchange, Arc<Figures>)>>>,
+    serving: Arc<Mutex<Option<Serving>>>,
     /// What is shown before that.
     none: Arc<Figures>,
 }
@@ -71,7 +74,7 @@
         *self.serving.lock().unwrap_or_else(PoisonError::into_inner) = serving;
     }
 
-    fn serving(&self) -> Option<(Exchange, Arc<Figures>)> {
+    fn serving(&self) -> Option<Serving> {
         self.serving.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
--- /dev/null
+++ b/tests/handover.rs
@@ -0,0 +1,236 @@
+//! A second process beside the first: the journal changes hands while messages come and calls are out.
+mod stand;
+use stand::*;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Holds back the answers to requests whose id begins with `slow`, until it is opened.
+#[derive(Clone, Default)]
+struct Gate(Arc<(Mutex<bool>, Condvar)>);
+
+impl Gate {
+    fn pass(&self, id: &str) {
+        let open = self.0 .0.lock().expect("lock");
+        if id.starts_with("slow") {
+            drop(self.0 .1.wait_timeout_while(open, PATIENCE, |open| !*open).expect("lock"));
+        }
+    }
+    fn open(&self) {
+        *self.0 .0.lock().expect("lock") = true;
+        self.0 .1.notify_all();
+    }
+}
+
+struct Scene {
+    gate: Gate,
+    endpoint: Server,
+    disco: Server,
+    old: Daemon,
+}
+
+/// One forwarder that operators look after, and an endpoint that answers slow requests like this once the gate is open.
+fn scene(slow: &'static str, headers: &'static str) -> Scene {
+    let gate = Gate::default();
+    let mine = gate.clone();
+    let endpoint = Server::start(move |heard, _| {
+        mine.pass(heard.id());
+        match heard.id().starts_with("slow") {
+            true => say(slow, headers, ""),
+            false => say("200 OK", "", ""),
+        }
+    });
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = discovery(known.clone());
+    let env = vec![("RELAY_MGMT".to_string(), free_place().to_string())];
+    let old = Setup { env, ..setup(&disco, known) }.start();
+    Scene { gate, endpoint, disco, old }
+}
+
+impl Scene {
+    fn second(&self) -> (Daemon, SocketAddr) {
+        let mgmt = free_place();
+        (self.old.beside("RELAY_MGMT", &mgmt.to_string()), mgmt)
+    }
+
+    /// A second process, once it serves and the first has let go.
+    fn handed_over(&self) -> Daemon {
+        let (new, mgmt) = self.second();
+        new.wait_log("ready:");
+        self.old.wait_log("handed over");
+        assert_eq!(ask(mgmt, b"GET /v1/readyz HTTP/1.1\r\nHost: o\r\n\r\n").map(|h| h.status()), Some(200));
+        new
+    }
+
+    fn calls(&self, id: &str) -> usize {
+        self.endpoint.heard().iter().filter(|h| h.id() == id).count()
+    }
+
+    fn notices(&self, id: &str) -> usize {
+        self.disco.different(&format!(r#""id":"{id}""#))
+    }
+}
+
+#[test]
+fn nothing_that_comes_while_the_journal_changes_hands_is_refused_and_calls_that_are_out_end_well() {
+    let s = scene("200 OK", "");
+    for n in 0..3 {
+        assert_eq!(s.old.hand_in("payout", &format!("slow-{n}")), 202);
+        s.endpoint.wait_id(&format!("slow-{n}"));
+    }
+    let (done, addr) = (Arc::new(AtomicBool::new(false)), s.old.addr);
+    let clients: Vec<_> = (0..3)
+        .map(|c| {
+            let done = done.clone();
+            thread::spawn(move || {
+                let mut all = Vec::new();
+                while !done.load(Ordering::Relaxed) {
+                    let (id, begun) = (format!("c{c}-{}", all.len()), Instant::now());
+                    let status = ask(addr, &message("payout", &id, "20000m", "")).map(|h| h.status());
+                    assert!(begun.elapsed() < Duration::from_secs(2), "{id} waited {:?}", begun.elapsed());
+                    all.push((id, status));
+                    thread::sleep(Duration::from_millis(2));
+                }
+                all
+            })
+        })
+        .collect();
+    let new = s.handed_over();
+    s.gate.open();
+    new.wait_log("heard of a call of the process before message=slow-2");
+    done.store(true, Ordering::Relaxed);
+    let all: Vec<_> = clients.into_iter().flat_map(|c| c.join().expect("a client")).collect();
+    let refused: Vec<_> = all.iter().filter(|(_, s)| *s != Some(202)).collect();
+    // What comes in the moment itself on a connection that is open already may be told to come again.
+    assert!(all.len() > 20 && refused.len() <= 2, "{} of {}: {refused:?}", refused.len(), all.len());
+    let taken = all.iter().filter(|(_, s)| *s == Some(202)).map(|(id, _)| id.clone());
+    let taken: Vec<String> = taken.chain((0..3).map(|n| format!("slow-{n}"))).collect();
+    s.endpoint.wait("each of them", |all| taken.iter().all(|id| all.iter().any(|h| h.id() == id)));
+    s.old.terminate();
+    let mut old = s.old;
+    assert!(old.wait_end(PATIENCE).success());
+    for id in &taken {
+        assert_eq!(
+            s.endpoint.heard().iter().filter(|h| h.id() == id).count(),
+            1,
+            "a payout came twice: {id}"
+        );
+        assert_eq!(s.disco.different(&format!(r#""id":"{id}""#)), 0, "{id} was delivered");
+    }
+}
+
+#[test]
+fn a_key_waits_at_the_new_process_for_the_call_of_the_old_one() {
+    let s = scene("200 OK", "");
+    let keyed = |id: &str| message("sync", id, "20000m", "X-Key: 00aa\r\n");
+    assert_eq!(s.old.ask(&keyed("slow-1")).map(|h| h.status()), Some(202));
+    assert_eq!(s.old.ask(&keyed("held")).map(|h| h.status()), Some(202));
+    s.endpoint.wait_id("slow-1");
+    let new = s.handed_over();
+    assert_eq!(new.ask(&keyed("second")).map(|h| h.status()), Some(202));
+    assert_eq!(new.hand_in("stats", "free"), 202);
+    s.endpoint.wait_id("free");
+    assert_eq!((s.calls("held"), s.calls("second")), (0, 0), "the first of their key is still out");
+    s.gate.open();
+    let all =
+        s.endpoint.wait("both", |all| ["held", "second"].iter().all(|id| all.iter().any(|h| h.id() == *id)));
+    let order: Vec<&str> = all.iter().map(Heard::id).filter(|id| *id != "free").collect();
+    assert_eq!(order, ["slow-1", "held", "second"]);
+}
+
+#[test]
+fn a_payout_whose_old_process_is_killed_is_undeliverable_and_never_sent_again() {
+    let mut s = scene("200 OK", "");
+    assert_eq!(s.old.hand_in("payout", "slow-p"), 202);
+    s.endpoint.wait_id("slow-p");
+    let _new = s.handed_over();
+    s.old.kill();
+    s.disco.wait_text(r#"{"id":"slow-p","status":"undeliverable"}"#);
+    assert_eq!(s.calls("slow-p"), 1);
+}
+
+#[test]
+fn one_that_never_ran_at_the_old_process_is_sent_by_the_new_one() {
+    let s = scene("503 Full", "");
+    assert_eq!(s.old.hand_in("payout", "slow-p"), 202);
+    s.endpoint.wait_id("slow-p");
+    let _new = s.handed_over();
+    s.gate.open();
+    s.endpoint.wait("the second try", |all| all.iter().filter(|h| h.id() == "slow-p").count() >= 2);
+}
+
+#[test]
+fn a_wait_told_to_the_old_process_binds_the_new_one() {
+    let s = scene("429 Later", "Retry-After: 1.5\r\n");
+    assert_eq!(s.old.hand_in("payout", "slow-p"), 202);
+    s.endpoint.wait_id("slow-p");
+    let new = s.handed_over();
+    let before = new.log().len();
+    let told = Instant::now();
+    s.gate.open();
+    new.wait_log_from(before, "heard of a call of the process before message=slow-p how=NeverRan");
+    assert_eq!(new.hand_in("stats", "after"), 202);
+    s.endpoint.wait_id("after");
+    assert!(told.elapsed() >= Duration::from_millis(1400), "sent after {:?}", told.elapsed());
+}
+
+#[test]
+fn one_that_asks_and_never_comes_up_leaves_the_old_one_serving() {
+    let s = scene("200 OK", "");
+    assert_eq!(s.old.hand_in("payout", "slow-p"), 202);
+    s.endpoint.wait_id("slow-p");
+    // It asks for the folder, and that is all it does.
+    let asks = File::create(s.old.folder.join("state/next")).expect("a file");
+    asks.lock().expect("its lock");
+    s.old.wait_log("handed over");
+    s.gate.open();
+    s.old.wait_log_from(s.old.log().find("handed over").expect("it was"), "ready:");
+    assert_eq!(s.old.hand_in("stats", "a"), 202);
+    s.endpoint.wait_id("a");
+    drop(asks);
+    assert_eq!((s.calls("slow-p"), s.notices("slow-p")), (1, 0));
+}
+
+#[test]
+fn one_that_asks_and_dies_at_once_changes_nothing() {
+    let s = scene("200 OK", "");
+    let (mut new, _) = s.second();
+    new.wait_log("waiting for it");
+    new.kill();
+    assert_eq!(s.old.hand_in("stats", "a"), 202);
+    s.endpoint.wait_id("a");
+}
+
+#[test]
+fn the_old_one_takes_up_again_what_the_new_one_leaves_when_it_is_killed() {
+    let s = scene("200 OK", "");
+    let mut new = s.handed_over();
+    s.old.wait_log("waiting for it");
+    assert_eq!(new.hand_in("payout", "slow-n"), 202);
+    s.endpoint.wait_id("slow-n");
+    let at = s.old.log().len();
+    new.kill();
+    s.old.wait_log_from(at, "ready:");
+    s.disco.wait_text(r#"{"id":"slow-n","status":"undeliverable"}"#);
+    assert_eq!(s.old.hand_in("stats", "a"), 202);
+    s.endpoint.wait_id("a");
+    assert_eq!(s.calls("slow-n"), 1);
+}
+
+#[test]
+fn without_operators_a_second_process_waits_until_the_first_has_ended() {
+    let endpoint = Server::always("200 OK");
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = discovery(known.clone());
+    let mut first = setup(&disco, known).start();
+    let second = first.beside("MICALADDER_LOG_BURST", "0");
+    second.wait_log("another process owns the folder");
+    assert_eq!(first.hand_in("stats", "a"), 202);
+    first.kill();
+    second.wait_log("ready:");
+    assert_eq!(second.hand_in("stats", "b"), 202);
+    endpoint.wait_id("b");
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -360,6 +360,15 @@
         (self.child, self.log) = launch(&self.folder, &self.extra, &self.flags);
     }
 
+    /// A second process beside this one: the same configuration, folder and clients' address, and a variable more.
+    pub fn beside(&self, name: &str, value: &str) -> Daemon {
+        let mut extra: Vec<_> = self.extra.iter().filter(|(k, _)| k != name).cloned().collect();
+        extra.push((name.to_string(), value.to_string()));
+        let (child, log) = launch(&self.folder, &extra, &self.flags);
+        let (addr, folder, discovery) = (self.addr, self.folder.clone(), self.discovery);
+        Daemon { addr, folder, discovery, child, log, extra, flags: self.flags.clone() }
+    }
+
     /// SIGTERM.
     pub fn terminate(&self) {
         self.signal("-TERM");
