Send several messages to one endpoint in one call, where its kind takes them

Need: T has kinds whose limit is a count of calls and that take ten messages in one; the module decides in such calls already, and the daemon sent each message by itself (src/core/tries.rs, release_held_back: one order a message).

Change: core::tries puts the tries of one moment to one endpoint into one call, cut by count and by 64 KiB; upstream::batch writes it, asks each message anew at the first byte and has it journalled, reads the whole answer before any of it counts, and ends each by its own word. A call is given up for one message's time only where no payout is in it, and always where that one has a key. A wait binds in an answer for several too.

--- a/benches/held.rs
+++ b/benches/held.rs
@@ -138,9 +138,11 @@
         self.now = self.now + STEP;
         for order in self.core.moment(self.now, inputs) {
             match order {
-                Order::Try(one) => {
-                    assert!(self.core.may_go(self.now, one.id, one.attempt), "nothing has changed");
-                    self.out.push_back((one.id, one.attempt))
+                Order::Call(tries) => {
+                    for one in tries {
+                        assert!(self.core.may_go(self.now, one.id, one.attempt), "nothing has changed");
+                        self.out.push_back((one.id, one.attempt))
+                    }
                 }
                 Order::Notice(notice) => self.heard.push(notice.id),
                 Order::Answer(_, answer) => assert!(matches!(answer, Answer::Taken | Answer::Reject(_))),
--- a/src/core/faults.rs
+++ b/src/core/faults.rs
@@ -309,7 +309,7 @@
                     self.taken.insert(name, class);
                 }
                 Order::Answer(..) | Order::Release(_) => {}
-                Order::Try(one) => self.call(&one),
+                Order::Call(tries) => tries.iter().for_each(|one| self.call(one)),
                 Order::GiveUp { id, attempt } => {
                     let mut gone = self.out.extract_if(.., |o| (o.1, o.2) == (id, attempt)).count();
                     gone +=
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -84,6 +84,8 @@
     pub host: HostId,
     pub address: String,
     pub timeout: Nanos,
+    /// It must not run twice: giving it up forfeits it.
+    pub once: bool,
     pub context: Arc<RequestContext>,
 }
 
@@ -100,8 +102,12 @@
 /// What is to be done.
 pub enum Order {
     Answer(MsgId, Answer),
-    Try(Try),
-    GiveUp { id: MsgId, attempt: u32 },
+    /// One call: a single message, or several for one endpoint.
+    Call(Vec<Try>),
+    GiveUp {
+        id: MsgId,
+        attempt: u32,
+    },
     Release(HostId),
     Notice(Notice),
 }
--- a/src/core/tries.rs
+++ b/src/core/tries.rs
@@ -2,9 +2,20 @@
 use super::held::{Out, Stage};
 use super::orders::{Order, Try};
 use super::Core;
-use crate::interface::{Ended, Event, HostId, MsgId, Nanos, Outcome, Report};
+use crate::interface::{Effect, Ended, Event, HostId, MsgId, Nanos, Outcome, Report};
 use crate::journal::{End, Record};
 
+/// Bytes of bodies and names in one call with several messages, which is 64 KiB at the most.
+const CALL_MOST: usize = 56 * 1024;
+/// What a message takes in it beside those.
+const LINE: usize = 16;
+
+/// Whether a call that carries `most` messages takes this one too.
+fn fits(call: &[Try], one: &Try, most: usize) -> bool {
+    let size = |t: &Try| t.context.name.len() + t.context.repeat_key.len() + t.context.body.len() + LINE;
+    call.len() < most && call.iter().chain([one]).map(size).sum::<usize>() <= CALL_MOST
+}
+
 impl Core {
     /// The message has a try out. With `take_out` the only place that says so: `busy` agrees with what is held.
     pub(super) fn put_out(&mut self, id: MsgId, out: Out) {
@@ -78,8 +89,10 @@
         self.held_back.insert(id);
     }
 
-    /// Lets the tries go to their connections whose key is free.
+    /// Lets the tries go to their connections whose key is free. Those of one moment to one endpoint are one call, as far
+    /// as its kind allows.
     pub(super) fn release_held_back(&mut self) {
+        let mut calls: Vec<Vec<Try>> = Vec::new();
         for id in std::mem::take(&mut self.held_back) {
             let Some(h) = self.held.get_mut(&id) else { continue };
             let Some(out) = h.out.as_mut().filter(|o| o.stage == Stage::HeldBack) else { continue };
@@ -93,8 +106,21 @@
             let context = h.context.clone();
             log::debug!(message = context.name, "try" = attempt, dest = context.dest; "try starts");
             let address = self.hosts.get(&host).map(|m| m.address.clone()).unwrap_or_default();
-            self.orders.push(Order::Try(Try { id, attempt, host, address, timeout, context }));
+            let once = self.settings.classes.get(context.class).is_some_and(|c| c.effect == Effect::Once);
+            let one = Try { id, attempt, host, address, timeout, once, context };
+            let most = self.per_call(host);
+            let open = calls.iter_mut().rfind(|call| most > 1 && call[0].host == host);
+            match open.filter(|call| fits(call, &one, most)) {
+                Some(call) => call.push(one),
+                None => calls.push(vec![one]),
+            }
         }
+        self.orders.extend(calls.into_iter().map(Order::Call));
+    }
+
+    fn per_call(&self, host: HostId) -> usize {
+        let kind = self.hosts.get(&host).and_then(|m| self.settings.kinds.get(m.kind));
+        kind.map_or(1, |k| k.per_call)
     }
 
     /// Asked once, when a try has its connection and before its first byte: whether what was decided then still
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -41,8 +41,12 @@
 
 /// What the server side does for the exchange.
 pub enum Work {
-    Try(Try),
-    GiveUp { id: MsgId, attempt: u32 },
+    /// One call with these messages.
+    Call(Vec<Try>),
+    GiveUp {
+        id: MsgId,
+        attempt: u32,
+    },
     Release(HostId),
 }
 
@@ -323,7 +327,7 @@
                 let tell = self.answers.remove(&id)?;
                 return tell.send(answer).is_err().then_some(Input::Withdrawn(id));
             }
-            Order::Try(one) => drop(self.tries.send(Work::Try(one))),
+            Order::Call(tries) => drop(self.tries.send(Work::Call(tries))),
             Order::GiveUp { id, attempt } => drop(self.tries.send(Work::GiveUp { id, attempt })),
             Order::Release(host) => drop(self.tries.send(Work::Release(host))),
             Order::Notice(notice) if notice.origin.is_empty() => drop(self.notices.send(notice)),
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -11,7 +11,7 @@
 
 const CRATE: &str = "micaladder";
 /// The modules that a filter may name; below each, any path.
-const MODULES: [&str; 21] = [
+const MODULES: [&str; 23] = [
     "acme",
     "as2",
     "check",
@@ -22,9 +22,11 @@
     "fault",
     "flags",
     "fleet",
+    "handover",
     "journal",
     "logger",
     "logic",
+    "mgmt",
     "neighbours",
     "notices",
     "past",
@@ -224,7 +226,18 @@
         let here = concat!(env!("CARGO_MANIFEST_DIR"), "/src");
         for entry in std::fs::read_dir(here).expect("the sources").flatten() {
             let name = entry.file_name().to_string_lossy().trim_end_matches(".rs").to_string();
-            let silent = ["backoff", "bin", "clock", "hints", "interface", "lib", "main", "pile", "request"];
+            let silent = [
+                "backoff",
+                "bin",
+                "clock",
+                "figures",
+                "hints",
+                "interface",
+                "lib",
+                "main",
+                "pile",
+                "request",
+            ];
             assert!(MODULES.contains(&name.as_str()) || silent.contains(&name.as_str()), "{name}");
         }
     }
--- a/src/upstream/as2.rs
+++ b/src/upstream/as2.rs
@@ -35,8 +35,9 @@
     };
     // Known before the first byte goes out: a receipt may overtake the answer.
     let word = exchange.expect(&id);
-    let may_go = || exchange.may_go(one.id, one.attempt);
-    let mut call = match pool.call(request, may_go, platform::listener(one, exchange)).await {
+    let to = request.uri().clone();
+    let make = || exchange.may_go(one.id, one.attempt).then_some(request);
+    let mut call = match pool.call(to, make, platform::listener(one, false, exchange)).await {
         Ok(call) => call,
         Err(fault) => return platform::broken(&partner.url, &fault),
     };
--- /dev/null
+++ b/src/upstream/batch.rs
@@ -0,0 +1,181 @@
+//! Several messages for one endpoint in one call: it holds one slot and one connection, and its whole answer says how each
+//! of them ended. Each keeps its own time and can be called off alone; what that means for the others is settled here.
+use super::platform::{self, ending};
+use super::pool::Pool;
+use super::Ending;
+use crate::core::Try;
+use crate::exchange::Exchange;
+use crate::{MsgId, Nanos, Outcome};
+use bytes::{BufMut, Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::HeaderMap;
+use hyper::{Request, StatusCode, Uri};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::{sleep_until, timeout, Instant};
+
+/// An answer has a short line for each message.
+const ANSWER_MOST: usize = 64 * 1024;
+/// An endpoint writes an answer at once. So long after its head, the rest is not waited for: a payout's slot would be held
+/// until its time is up.
+const REST_FOR: Duration = Duration::from_secs(1);
+
+/// Which try of which message.
+pub type Place = (MsgId, u32);
+
+/// One message of the call, until its end is told.
+struct Open {
+    one: Try,
+    until: Instant,
+}
+
+/// Carries out one call with several messages, and tells the end of each.
+pub async fn run(pool: Arc<Pool>, tries: Vec<Try>, exchange: Exchange, mut off: UnboundedReceiver<Place>) {
+    let now = Instant::now();
+    let until = |one: &Try| now + Duration::from_nanos(one.timeout.max(Nanos(1_000_000)).0);
+    let mut open: Vec<Open> = tries.iter().map(|one| Open { until: until(one), one: one.clone() }).collect();
+    let call = call(pool, &tries, &exchange);
+    tokio::pin!(call);
+    loop {
+        let Some(next) = open.iter().map(|o| o.until).min() else { return };
+        let (gone, outcome): (Vec<Open>, Outcome) = tokio::select! {
+            biased;
+            endings = &mut call => {
+                for o in open {
+                    let ending = endings.of(&o.one);
+                    tell(&exchange, &o.one, ending);
+                }
+                return;
+            }
+            Some(place) = off.recv() => {
+                (open.extract_if(.., |o| (o.one.id, o.one.attempt) == place).collect(), Outcome::Cancelled)
+            }
+            () = sleep_until(next) => {
+                let now = Instant::now();
+                (open.extract_if(.., |o| o.until <= now).collect(), Outcome::Timeout)
+            }
+        };
+        // Guards "order by key": its next message may not go while this one is still out on an open connection.
+        let keyed = gone.iter().any(|o| o.one.context.key.is_some());
+        gone.into_iter().for_each(|o| tell(&exchange, &o.one, outcome.into()));
+        // Guards what must not run twice: giving the call up forfeits it, so the others' time is no reason to.
+        if keyed || !open.iter().any(|o| o.one.once) {
+            open.into_iter().for_each(|o| tell(&exchange, &o.one, Outcome::Cancelled.into()));
+            return;
+        }
+    }
+}
+
+fn tell(exchange: &Exchange, one: &Try, ending: Ending) {
+    let (message, dest) = (&one.context.name, one.context.dest);
+    log::debug!(message, outcome:? = ending.outcome, "try" = one.attempt, dest, report:? = ending.report; "try ended");
+    exchange.try_ended(one.id, one.attempt, ending.outcome, ending.over, ending.report);
+}
+
+/// How the messages of a call ended.
+struct Endings {
+    /// Those of which the answer speaks, and those that did not go.
+    each: HashMap<String, Ending>,
+    /// All others.
+    rest: Ending,
+}
+
+impl Endings {
+    fn all(rest: Ending) -> Endings {
+        Endings { each: HashMap::new(), rest }
+    }
+
+    fn of(&self, one: &Try) -> Ending {
+        *self.each.get(&one.context.name).unwrap_or(&self.rest)
+    }
+}
+
+/// Makes the call; dropping it closes its connection.
+async fn call(pool: Arc<Pool>, tries: &[Try], exchange: &Exchange) -> Endings {
+    let Some(first) = tries.first() else { return Endings::all(Outcome::Moot.into()) };
+    let place = &first.address;
+    let Ok(to) = format!("http://{place}/v1/messages:batch").parse::<Uri>() else {
+        log::error!("{place} is no address: what goes there is not sent");
+        return Endings::all(Outcome::Moot.into());
+    };
+    let mut unsent = HashMap::new();
+    let make = || {
+        // Each is asked anew, as in a call of its own, and journalled before the first byte.
+        let (go, stay): (Vec<&Try>, Vec<&Try>) =
+            tries.iter().partition(|one| exchange.may_go(one.id, one.attempt));
+        unsent.extend(stay.iter().map(|one| (one.context.name.clone(), Outcome::Unsent.into())));
+        if go.is_empty() {
+            return None;
+        }
+        let longest = go.iter().map(|one| one.timeout).max().unwrap_or_default();
+        let request = Request::post(to.clone()).header("x-deadline", format!("{}m", longest.0 / 1_000_000));
+        request.body(Full::new(body(&go))).ok()
+    };
+    let listener = platform::listener(first, true, exchange);
+    let mut call = match pool.call(to.clone(), make, listener).await {
+        Ok(call) => call,
+        Err(fault) => return Endings { each: unsent, rest: platform::broken(place, &fault) },
+    };
+    let watch = call.watch.clone();
+    let (answer, seat) = match call.head().await {
+        Ok(done) => done,
+        Err(e) if watch.heard() => {
+            return Endings { each: unsent, rest: platform::spoilt(place, &e.to_string()) }
+        }
+        // Found closed before the first byte went out: that is no word on its endpoint.
+        Err(_) if watch.unsent() => return Endings { each: unsent, rest: Outcome::Moot.into() },
+        Err(e) => return Endings { each: unsent, rest: platform::broken(place, &e) },
+    };
+    let (head, text) = answer.into_parts();
+    let whole = timeout(REST_FOR, Limited::new(text, ANSWER_MOST).collect()).await;
+    let whole = whole.unwrap_or_else(|_| Err("the rest of it does not come".into()));
+    let rest = match (head.status, &whole) {
+        (StatusCode::OK, Ok(_)) => platform::spoilt(place, "it does not say how this message ended"),
+        // Its answer counts as a whole or not at all.
+        (StatusCode::OK, Err(e)) => platform::spoilt(place, &e.to_string()),
+        (StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE, _) => {
+            log::error!("{place}: a call with several messages was answered {}; none has run", head.status);
+            Outcome::Moot.into()
+        }
+        (status, _) => ending(status, &head.headers),
+    };
+    if let (StatusCode::OK, Ok(text)) = (head.status, whole) {
+        unsent.extend(read(&text.to_bytes(), &head.headers));
+    }
+    let _ = timeout(platform::LINGER, seat.settle()).await;
+    Endings { each: unsent, rest }
+}
+
+/// A line with id, key and length for each message, and its bytes.
+fn body(tries: &[&Try]) -> Bytes {
+    let mut body = BytesMut::new();
+    for one in tries {
+        let c = &one.context;
+        let key = if c.repeat_key.is_empty() { "-" } else { &c.repeat_key };
+        body.put_slice(format!("{} {key} {}\r\n", c.name, c.body.len()).as_bytes());
+        body.put_slice(&c.body);
+        body.put_slice(b"\r\n");
+    }
+    body.freeze()
+}
+
+/// How each message ended, by its name; words that mean nothing are passed over.
+fn read(text: &[u8], headers: &HeaderMap) -> HashMap<String, Ending> {
+    let text = String::from_utf8_lossy(text);
+    let report = ending(StatusCode::OK, headers).report;
+    let one = |line: &str| {
+        let (name, word) = line.trim().split_once(' ')?;
+        let (outcome, over) = match word.trim() {
+            "done" => (Outcome::Ok, false),
+            "failed" => (Outcome::Error, false),
+            "busy" => (Outcome::Full(platform::wait(headers)), false),
+            "void" => (Outcome::Moot, true),
+            "used_up" => (Outcome::Moot, false),
+            _ => return None,
+        };
+        Some((name.to_string(), Ending { outcome, over, report }))
+    };
+    text.lines().filter_map(one).collect()
+}
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! Tries on the wire: one task each, over pooled connections, one pool for each host.
 mod as2;
+mod batch;
 mod platform;
 mod pool;
 mod tap;
@@ -8,16 +9,17 @@
 use crate::core::Try;
 use crate::exchange::{Exchange, Work};
 use crate::settings::Site;
-use crate::{HostId, MsgId, Nanos, Outcome, Report};
+use crate::{HostId, Nanos, Outcome, Report};
 use pool::Pool;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 /// How a try ended, whether the endpoint says that the message is over, and what it told of its limit.
+#[derive(Clone, Copy, Debug)]
 pub struct Ending {
     pub outcome: Outcome,
     pub over: bool,
@@ -30,12 +32,29 @@
     }
 }
 
+/// By what a try that is out is called off.
+enum Out {
+    /// Its call carries it alone.
+    Alone(AbortHandle),
+    /// Among others.
+    Among(UnboundedSender<batch::Place>),
+}
+
+impl Out {
+    fn is_over(&self) -> bool {
+        match self {
+            Out::Alone(task) => task.is_finished(),
+            Out::Among(off) => off.is_closed(),
+        }
+    }
+}
+
 /// Carries out tries as the exchange hands them over.
 pub async fn run(
     site: Arc<Site>, book: Option<Arc<Book>>, exchange: Exchange, mut works: UnboundedReceiver<Work>,
 ) {
     let mut pools: BTreeMap<HostId, Arc<Pool>> = BTreeMap::new();
-    let mut out: BTreeMap<(MsgId, u32), AbortHandle> = BTreeMap::new();
+    let mut out: BTreeMap<batch::Place, Out> = BTreeMap::new();
     let mut sweep = tokio::time::interval(pool::sweep(&site));
     loop {
         let work = tokio::select! {
@@ -48,25 +67,37 @@
         };
         let Some(work) = work else { return };
         match work {
-            Work::Try(one) => {
-                let new = || Arc::new(Pool::new(&site, one.address.clone()));
-                let pool = pools.entry(one.host).or_insert_with(new);
-                if pool.address != one.address {
+            Work::Call(tries) => {
+                let Some(first) = tries.first() else { continue };
+                let new = || Arc::new(Pool::new(&site, first.address.clone()));
+                let pool = pools.entry(first.host).or_insert_with(new);
+                if pool.address != first.address {
                     *pool = new();
                 }
-                let pool = pool.clone();
-                let place = (one.id, one.attempt);
-                let task = tokio::spawn(attempt(pool, one, book.clone(), exchange.clone()));
-                out.retain(|_, handle| !handle.is_finished());
-                out.insert(place, task.abort_handle());
+                out.retain(|_, call| !call.is_over());
+                let partner = book.as_ref().is_some_and(|b| b.at(&first.address).is_some());
+                if tries.len() > 1 && !partner {
+                    let (off, calls_off) = unbounded_channel();
+                    let places = tries.iter().map(|one| (one.id, one.attempt));
+                    out.extend(places.map(|place| (place, Out::Among(off.clone()))));
+                    tokio::spawn(batch::run(pool.clone(), tries, exchange.clone(), calls_off));
+                    continue;
+                }
+                for one in tries {
+                    let place = (one.id, one.attempt);
+                    let task = tokio::spawn(attempt(pool.clone(), one, book.clone(), exchange.clone()));
+                    out.insert(place, Out::Alone(task.abort_handle()));
+                }
             }
-            Work::GiveUp { id, attempt } => {
+            Work::GiveUp { id, attempt } => match out.remove(&(id, attempt)).filter(|call| !call.is_over()) {
                 // Dropping the call closes its connection, which calls it off.
-                if let Some(handle) = out.remove(&(id, attempt)).filter(|h| !h.is_finished()) {
-                    handle.abort();
+                Some(Out::Alone(task)) => {
+                    task.abort();
                     exchange.try_ended(id, attempt, Outcome::Cancelled, false, None);
                 }
-            }
+                Some(Out::Among(off)) => drop(off.send((id, attempt))),
+                None => {}
+            },
             // Calls that are out go on, and close theirs when they end.
             Work::Release(host) => pools.remove(&host).into_iter().for_each(|p| p.close()),
         }
--- a/src/upstream/platform.rs
+++ b/src/upstream/platform.rs
@@ -43,8 +43,9 @@
             return Outcome::Moot.into();
         }
     };
-    let may_go = || exchange.may_go(one.id, one.attempt);
-    let mut call = match pool.call(request, may_go, listener(one, exchange)).await {
+    let to = request.uri().clone();
+    let make = || exchange.may_go(one.id, one.attempt).then_some(request);
+    let mut call = match pool.call(to, make, listener(one, false, exchange)).await {
         Ok(call) => call,
         Err(fault) => return broken(&one.address, &fault),
     };
@@ -70,11 +71,13 @@
 /// Hears the wait that an answer tells, line by line as its head comes, and passes it on at once. A wait belongs to the
 /// partner and not to the message: it counts also where the head never ends or cannot be read, and where nobody waits
 /// for the answer any more.
-pub fn listener(one: &Try, exchange: &Exchange) -> Listener {
+pub fn listener(one: &Try, several: bool, exchange: &Exchange) -> Listener {
     let (host, dest, exchange) = (one.host, DestId(one.context.dest), exchange.clone());
+    // An answer for several may turn some of them away.
+    let several = move |status| several && status == 200;
     Box::new(move |status, line| {
         let said = line.split_once(':').filter(|l| l.0.trim().eq_ignore_ascii_case(RETRY_AFTER.as_str()));
-        if let Some(wait) = said.filter(|_| turns_away(status)).and_then(|l| span(l.1)) {
+        if let Some(wait) = said.filter(|_| turns_away(status) || several(status)).and_then(|l| span(l.1)) {
             exchange.told_wait(host, dest, wait);
         }
     })
@@ -118,7 +121,7 @@
     answer.headers().get(CONNECTION).is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"close"))
 }
 
-fn spoilt(place: &str, why: &str) -> Ending {
+pub(super) fn spoilt(place: &str, why: &str) -> Ending {
     log::debug!("{place}: an answer that cannot be read: {why}");
     Outcome::Spoilt.into()
 }
@@ -169,7 +172,7 @@
 
 /// The wait that an answer tells. Guards against what no endpoint can mean: one that is no number, or not ahead, is
 /// none, and a longer one than an hour is an hour, or a slip would shut a partner out until the next restart.
-fn wait(headers: &HeaderMap) -> Option<Nanos> {
+pub(super) fn wait(headers: &HeaderMap) -> Option<Nanos> {
     span(headers.get(RETRY_AFTER)?.to_str().unwrap_or_default())
 }
 
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -42,7 +42,7 @@
 pub enum Fault {
     #[error("no connection: {0}")]
     Connect(Box<dyn std::error::Error + Send + Sync>),
-    /// Its connection stands, but it may not go any more.
+    /// Its connection stands, but nothing of it may go any more.
     #[error("decided anew")]
     Unsent,
     /// Its connection was found closed; the request was handed back whole.
@@ -235,12 +235,11 @@
         (self.keep)(0);
     }
 
-    /// Gets a connection, asks whether the request may still go, and hands it over: the one place where a request
-    /// meets its connection, for all fronts.
+    /// Gets a connection to this place, has the request made of what may still go, if anything may, and hands it over: the
+    /// one place where a request meets its connection, for all fronts.
     pub async fn call(
-        self: Arc<Pool>, request: Post, may_go: impl FnOnce() -> bool, listener: Listener,
+        self: Arc<Pool>, to: Uri, make: impl FnOnce() -> Option<Post>, listener: Listener,
     ) -> Result<Call, Fault> {
-        let to = request.uri().clone();
         // Those that were closed meanwhile are no longer among them after this.
         self.trim();
         let mut seat = (self.take)(to).await?;
@@ -249,9 +248,7 @@
         if !seat.is_free() {
             return Err(Fault::Connect("closed as soon as it stood".into()));
         }
-        if !may_go() {
-            return Err(Fault::Unsent);
-        }
+        let Some(request) = make() else { return Err(Fault::Unsent) };
         match seat.call(Some((on_line(request), listener))).await {
             Ok((watch, answer)) => Ok(Call { watch, out: Some((answer, seat)) }),
             Err(Closed) => Err(Fault::Unsent),
--- /dev/null
+++ b/tests/batch.rs
@@ -0,0 +1,179 @@
+//! Several messages for one endpoint in one call, where its kind takes them: how each ends, and what is asked of the whole.
+mod stand;
+use rstest::rstest;
+use stand::*;
+use std::sync::mpsc::{channel, Sender};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// One message of a call.
+struct Part {
+    id: String,
+    key: String,
+    body: Vec<u8>,
+}
+
+/// The messages of a call, read as the platform's page has them.
+fn parts(call: &Heard) -> Vec<Part> {
+    let (mut all, mut rest) = (Vec::new(), &call.body[..]);
+    while !rest.is_empty() {
+        let end = rest.windows(2).position(|w| w == b"\r\n").expect("a line");
+        let line = String::from_utf8(rest[..end].to_vec()).expect("text");
+        let words: Vec<&str> = line.split(' ').collect();
+        let [id, key, size] = words[..] else { panic!("no line of three words: {line:?}") };
+        let size: usize = size.parse().expect("a length");
+        let body = rest[end + 2..end + 2 + size].to_vec();
+        assert_eq!(&rest[end + 2 + size..end + 4 + size], b"\r\n", "its end");
+        all.push(Part { id: id.to_string(), key: key.to_string(), body });
+        rest = &rest[end + 4 + size..];
+    }
+    all
+}
+
+fn is_batch(call: &Heard) -> bool {
+    call.first.starts_with("POST /v1/messages:batch ")
+}
+
+fn batches(server: &Server) -> Vec<Vec<Part>> {
+    server.heard().iter().filter(|c| is_batch(c)).map(parts).collect()
+}
+
+/// One slot, kinds that take ten messages in a call, and an endpoint whose first call waits until it is let go.
+struct Scene {
+    endpoint: Server,
+    disco: Server,
+    daemon: Daemon,
+    go: Sender<()>,
+}
+
+fn scene(answer: impl Fn(&[Part], usize) -> Reply + Send + Sync + 'static) -> Scene {
+    let (go, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let turn = Mutex::new(0);
+    let endpoint = Server::start(move |heard, n| {
+        if n == 0 {
+            let _ = wait.lock().expect("lock").recv_timeout(PATIENCE);
+        }
+        if !is_batch(heard) {
+            return say("200 OK", "", "");
+        }
+        let mut turn = turn.lock().expect("lock");
+        *turn += 1;
+        answer(&parts(heard), *turn - 1)
+    });
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = discovery(known.clone());
+    let swaps = vec![(r#""perCall":[1]"#, r#""perCall":[10]"#), (r#""workers":6"#, r#""workers":1"#)];
+    let daemon = Setup { swaps, ..setup(&disco, known) }.start();
+    Scene { endpoint, disco, daemon, go }
+}
+
+impl Scene {
+    /// These wait for the slot, and then go together.
+    fn together(&self, all: &[(&str, &str)]) {
+        assert_eq!(self.daemon.hand_in("stats", "first"), 202);
+        self.endpoint.wait_id("first");
+        all.iter().for_each(|(class, id)| assert_eq!(self.daemon.hand_in(class, id), 202));
+        self.go.send(()).expect("it waits");
+        self.endpoint.wait("a call with several", |all| all.iter().any(is_batch));
+    }
+}
+
+fn each(parts: &[Part], word: impl Fn(&str) -> &'static str) -> String {
+    parts.iter().map(|p| format!("{} {}\r\n", p.id, word(&p.id))).collect()
+}
+
+#[test]
+fn each_message_ends_as_the_whole_answer_says() {
+    let s = scene(|parts, n| {
+        let word = |id: &str| match (n, id) {
+            (0, "f") => "failed",
+            (0, "b") => "busy",
+            (0, "v") => "void",
+            _ => "done",
+        };
+        say("200 OK", "", &each(parts, word))
+    });
+    s.together(&[("payout", "d"), ("payout", "f"), ("payout", "b"), ("payout", "v"), ("stats", "x")]);
+    s.disco.wait_text(r#"{"id":"f","status":"undeliverable"}"#);
+    // The one that was turned away comes again, the others do not.
+    let comes = |all: &[Heard], id: &str| {
+        let alone = all.iter().filter(|c| c.id() == id).count();
+        alone + all.iter().filter(|c| is_batch(c)).flat_map(parts).filter(|p| p.id == id).count()
+    };
+    let all = s.endpoint.wait("b again", |all| comes(all, "b") == 2);
+    assert_eq!(["d", "f", "v", "x"].map(|id| comes(&all, id)), [1; 4]);
+    let first = &batches(&s.endpoint)[0];
+    assert!((2..=10).contains(&first.len()), "{}", first.len());
+    let d = first.iter().find(|p| p.id == "d").expect("it went");
+    assert_eq!((d.key.as_str(), d.body.as_slice()), ("key-d", &b"body of d"[..]));
+    assert_eq!(s.disco.different(r#""id":"d""#) + s.disco.different(r#""id":"v""#), 0);
+}
+
+#[test]
+fn a_call_holds_no_more_than_its_kind_takes() {
+    let s = scene(|parts, _| say("200 OK", "", &each(parts, |_| "done")));
+    let names: Vec<String> = (0..25).map(|n| format!("m{n}")).collect();
+    let all: Vec<(&str, &str)> = names.iter().map(|n| ("stats", n.as_str())).collect();
+    s.together(&all);
+    let sent = |all: &[Heard]| all.iter().filter(|c| is_batch(c)).flat_map(parts).count();
+    let all =
+        s.endpoint.wait("all of them", |all| sent(all) + all.iter().filter(|c| !is_batch(c)).count() >= 26);
+    let sizes: Vec<usize> = all.iter().filter(|c| is_batch(c)).map(|c| parts(c).len()).collect();
+    assert!(sizes.iter().all(|n| (2..=10).contains(n)) && sizes.contains(&10), "{sizes:?}");
+}
+
+/// Where none has run, all go again; a payout too.
+#[rstest]
+#[case::too_many("413 Too Many")]
+#[case::unread("400 Bad")]
+#[case::full("503 Full")]
+fn an_answer_for_all_that_none_has_run_lets_all_go_again(#[case] status: &'static str) {
+    let s = scene(move |parts, n| match n {
+        0 => say(status, "", ""),
+        _ => say("200 OK", "", &each(parts, |_| "done")),
+    });
+    s.together(&[("payout", "p"), ("stats", "q")]);
+    let times = |all: &[Heard], id: &str| {
+        all.iter().filter(|c| c.id() == id || (is_batch(c) && parts(c).iter().any(|p| p.id == id))).count()
+    };
+    s.endpoint.wait("both again", |all| times(all, "p") == 2 && times(all, "q") == 2);
+}
+
+#[rstest]
+#[case::cut(|_: &[Part]| Reply::Cut)]
+#[case::half(|p: &[Part]| Reply::Say(format!("HTTP/1.1 200 OK\r\ncontent-length: 500\r\n\r\n{} done\r\n", p[0].id)))]
+#[case::silent_on_one(|_: &[Part]| say("200 OK", "", "somebody done\r\n"))]
+#[case::error(|_: &[Part]| say("500 Error", "", ""))]
+fn a_payout_in_a_call_that_may_have_run_is_never_sent_again(#[case] reply: fn(&[Part]) -> Reply) {
+    let s = scene(move |parts, n| match n {
+        0 => reply(parts),
+        _ => say("200 OK", "", &each(parts, |_| "done")),
+    });
+    s.together(&[("payout", "p"), ("payout", "r"), ("stats", "q")]);
+    s.disco.wait_text(r#"{"id":"p","status":"undeliverable"}"#);
+    s.disco.wait_text(r#"{"id":"r","status":"undeliverable"}"#);
+    let times = |id: &str| batches(&s.endpoint).iter().flatten().filter(|p| p.id == id).count();
+    assert_eq!((times("p"), times("r")), (1, 1));
+}
+
+#[test]
+fn a_wait_in_an_answer_for_several_binds() {
+    let s = scene(|parts, n| match n {
+        0 => say("200 OK", "Retry-After: 1.2\r\n", &each(parts, |_| "busy")),
+        _ => say("200 OK", "", &each(parts, |_| "done")),
+    });
+    s.together(&[("payout", "p"), ("payout", "q")]);
+    s.daemon.wait_log("told to wait");
+    let (told, before) = (Instant::now(), s.endpoint.heard().len());
+    s.endpoint.wait("more", |all| all.len() > before);
+    assert!(told.elapsed() >= Duration::from_millis(1100), "sent after {:?}", told.elapsed());
+}
+
+#[test]
+fn what_waits_for_longer_than_a_payout_s_call_leaves_it_alone() {
+    let s = scene(|_, _| Reply::Hold(String::new()));
+    s.together(&[("payout", "p"), ("stats", "q")]);
+    s.daemon.wait_log("try ended message=q outcome=Timeout");
+    assert!(!s.daemon.log().contains("try ended message=p"), "a payout may use all of its time");
+}
