Tell an end for a message whose delivery is heard only with the end of its time

Cause: core::tries::try_ended takes an answer of 200 that is heard in the tick in which the time is up for a delivery and sends no notice, while the platform has written the message off.

Change: a delivery heard within 50 ms of the end of its time, or later, ends as undeliverable, which is told; a notice for a message that was delivered in time after all does no harm (PROTOCOL, Notices). Fronts of their own are told as before.

--- a/src/core/elder.rs
+++ b/src/core/elder.rs
@@ -154,7 +154,10 @@
         let may_have_run = match how {
             Late::Delivered | Late::Over => {
                 self.ran(id, true);
-                let end = if how == Late::Delivered { End::Delivered } else { End::Withdrawn };
+                let end = match (how, self.held.get(&id).map(|h| h.context.clone())) {
+                    (Late::Delivered, Some(context)) => self.delivered(&context),
+                    _ => End::Withdrawn,
+                };
                 self.end(id, end);
                 self.drop_if_done(id);
                 return self.elders_go_on(id);
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -11,8 +11,9 @@
 /// How long beyond its time a message that is over is remembered, in seconds.
 const REMEMBER: f64 = 2.0;
 
-/// A message that is handed back so shortly before its time, in seconds, does not run after a restart either.
-const TIME_UP: f64 = 0.05;
+/// So shortly before its time, in seconds, a message is out of it: one that is handed back does not run after a restart
+/// either, and one that is answered may have been written off already.
+pub(super) const TIME_UP: f64 = 0.05;
 
 impl Core {
     /// The message is over for its client.
--- a/src/core/faults.rs
+++ b/src/core/faults.rs
@@ -573,3 +573,30 @@
     world.finish();
     world.judge();
 }
+
+/// Found on roll+brink: the answer came in the millisecond in which the message's time was up, and nobody told its end.
+#[test]
+fn a_delivery_that_comes_with_the_end_of_its_time_is_still_an_end_to_tell() {
+    for (early, told) in [(0.2, false), (0.01, true), (0.0, true), (-0.004, true)] {
+        let mut world = World::new(5);
+        let mut handed = world.hand_in();
+        if let Input::Handed { context, .. } = &mut handed {
+            (context.class, context.key) = (PAYOUT, None);
+        }
+        world.step(vec![handed]);
+        let (_, one) = world.connecting.pop().expect("its try is on its way");
+        assert!(world.core.may_go(world.now, one.id, one.attempt));
+        let at = Nanos::from_secs(one.context.deadline.secs() - early);
+        let ended = Input::TryEnded {
+            id: one.id,
+            attempt: one.attempt,
+            outcome: Outcome::Ok,
+            over: false,
+            report: None,
+        };
+        let orders = world.core.moment(at, vec![ended]);
+        let ends: Vec<End> =
+            orders.iter().filter_map(|o| if let Order::Notice(n) = o { Some(n.end) } else { None }).collect();
+        assert_eq!(ends, vec![End::Undeliverable; usize::from(told)], "{early} s before its time");
+    }
+}
--- a/src/core/tries.rs
+++ b/src/core/tries.rs
@@ -1,9 +1,11 @@
 //! Tries: held back, on their way to a connection, started once the journal knows of them, ended.
+use super::ends::TIME_UP;
 use super::held::{Out, Stage};
 use super::orders::{Order, Try};
 use super::Core;
 use crate::interface::{Effect, Ended, Event, HostId, MsgId, Nanos, Outcome, Report};
 use crate::journal::{End, Record};
+use crate::request::RequestContext;
 
 /// Bytes of bodies and names in one call with several messages, which is 64 KiB at the most.
 const CALL_MOST: usize = 56 * 1024;
@@ -64,7 +66,7 @@
         self.plugins.outcome(&context, self.outlook(&context), &format!("{outcome:?}"));
         self.events.push(Event::Ended(Ended { id, attempt, outcome, over, took, report }));
         if outcome == Outcome::Ok || over {
-            let end = if outcome == Outcome::Ok { End::Delivered } else { End::Withdrawn };
+            let end = if outcome == Outcome::Ok { self.delivered(&context) } else { End::Withdrawn };
             if self.held[&id].end.is_none() {
                 self.end(id, end);
             } else if outcome == Outcome::Ok {
@@ -76,6 +78,18 @@
         self.drop_if_done(id);
     }
 
+    /// How a message ends whose endpoint says that it has run. Guards against a word that comes with the end of its time: the
+    /// platform has written the message off by then and still waits for its end. A notice for one that was in time after
+    /// all does no harm; other fronts are told of each end, and know best themselves what is late.
+    pub(super) fn delivered(&self, context: &RequestContext) -> End {
+        let late = (context.deadline - self.now).secs() <= TIME_UP;
+        if late && context.origin.is_empty() {
+            log::debug!(message = context.name, dest = context.dest; "delivered with the end of its time");
+            return End::Undeliverable;
+        }
+        End::Delivered
+    }
+
     pub(super) fn send(&mut self, id: MsgId, host: HostId, timeout: Nanos) {
         let (now, zone) = (self.now, self.hosts.get(&host).map_or(0, |m| m.zone));
         let Some(h) = self.held.get_mut(&id) else {
