--- a/src/upstream/batch.rs
+++ b/src/upstream/batch.rs
@@ -29,13 +29,15 @@
 struct Open {
     one: Try,
     until: Instant,
+    called_off: bool,
 }
 
 /// Carries out one call with several messages, and tells the end of each.
 pub async fn run(pool: Arc<Pool>, tries: Vec<Try>, exchange: Exchange, mut off: UnboundedReceiver<Place>) {
     let now = Instant::now();
     let until = |one: &Try| now + Duration::from_nanos(one.timeout.max(Nanos(1_000_000)).0);
-    let mut open: Vec<Open> = tries.iter().map(|one| Open { until: until(one), one: one.clone() }).collect();
+    let begin = |one: &Try| Open { until: until(one), one: one.clone(), called_off: false };
+    let mut open: Vec<Open> = tries.iter().map(begin).collect();
     let call = call(pool, &tries, &exchange);
     tokio::pin!(call);
     loop {
@@ -50,14 +52,22 @@
                 return;
             }
             Some(place) = off.recv() => {
-                (open.extract_if(.., |o| (o.one.id, o.one.attempt) == place).collect(), Outcome::Cancelled)
+                // Guards the others: what is called off alone does not end the call that carries them; its outcome comes with
+                // theirs, or once all are called off.
+                let here = |o: &&mut Open| (o.one.id, o.one.attempt) == place;
+                open.iter_mut().filter(here).for_each(|o| o.called_off = true);
+                if open.iter().any(|o| !o.called_off) {
+                    continue;
+                }
+                (std::mem::take(&mut open), Outcome::Cancelled)
             }
             () = sleep_until(next) => {
                 let now = Instant::now();
                 (open.extract_if(.., |o| o.until <= now).collect(), Outcome::Timeout)
             }
         };
-        // Guards "order by key": its next message may not go while this one is still out on an open connection.
+        // Out of its time. Guards "order by key": its next message may not go while this one is still out on an open
+        // connection.
         let keyed = gone.iter().any(|o| o.one.context.key.is_some());
         gone.into_iter().for_each(|o| tell(&exchange, &o.one, outcome.into()));
         // Guards what must not run twice: giving the call up forfeits it, so the others' time is no reason to.
--- a/tests/batch.rs
+++ b/tests/batch.rs
@@ -177,3 +177,33 @@
     s.daemon.wait_log("try ended message=q outcome=Timeout");
     assert!(!s.daemon.log().contains("try ended message=p"), "a payout may use all of its time");
 }
+
+/// A call with several gives its slot up once all of them are called off, and not for one of them.
+#[test]
+fn a_silent_call_with_several_makes_way_for_another_destination() {
+    let other = Server::always("200 OK");
+    let (go, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let silent = Server::start(move |heard, n| {
+        if n == 0 {
+            let _ = wait.lock().expect("lock").recv_timeout(PATIENCE);
+        }
+        if is_batch(heard) {
+            return Reply::Hold(String::new());
+        }
+        say("200 OK", "", "")
+    });
+    let known = list(1, &[(7, silent.addr), (8, other.addr)]);
+    let disco = discovery(known.clone());
+    let swaps = vec![(r#""perCall":[1]"#, r#""perCall":[10]"#), (r#""workers":6"#, r#""workers":1"#)];
+    let daemon = Setup { swaps, ..setup(&disco, known) }.start();
+    let s = Scene { endpoint: silent, disco, daemon, go };
+    s.together(&[("stats", "a"), ("stats", "b"), ("stats", "c")]);
+    let elsewhere = String::from_utf8(message("payout", "o", "20000m", "")).expect("text");
+    let elsewhere = elsewhere.replace("dest=7", "dest=8");
+    assert_eq!(s.daemon.ask(elsewhere.as_bytes()).map(|h| h.status()), Some(202));
+    other.wait_id("o");
+    let ended = |id: &str, log: &str| log.contains(&format!("try ended message={id} outcome="));
+    let log = s.daemon.log();
+    assert!(["a", "b", "c"].iter().all(|id| ended(id, &log)), "its slot was free before its call had ended");
+}
