Hear operators' words after the list that came before them

Cause: exchange::Desk::take asked the core at once, while the list lay in the inputs of the same moment. Now a word is heard after the moment with all that was said before it.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -90,6 +90,7 @@
             words: words_in,
             close,
             late: None,
+            hands: Vec::new(),
         };
         let core = desk.core.clone();
         tokio::spawn(desk.run(hear));
@@ -224,6 +225,8 @@
     close: watch::Sender<bool>,
     /// The journal is another process's; what comes of calls goes here.
     late: Option<Late>,
+    /// Operators' words of this moment: heard after all else that was said before them, the list among it.
+    hands: Vec<(String, bool, oneshot::Sender<Hand>)>,
 }
 
 impl Desk {
@@ -255,6 +258,9 @@
                 continue;
             }
             let orders = open(&self.core).moment(clock::now(), inputs);
+            for (uid, out, tell) in std::mem::take(&mut self.hands) {
+                let _ = tell.send(open(&self.core).hand(clock::now(), uid, out));
+            }
             let mut gone = Vec::new();
             orders.into_iter().for_each(|o| gone.extend(self.carry_out(o)));
             if !gone.is_empty() {
@@ -303,7 +309,7 @@
                 }
             },
             Said::Known(tell) => drop(tell.send(open(&self.core).known(clock::now()))),
-            Said::Hand { uid, out, tell } => drop(tell.send(open(&self.core).hand(clock::now(), uid, out))),
+            Said::Hand { uid, out, tell } => self.hands.push((uid, out, tell)),
             Said::Door { open } => drop(self.close.send(!open)),
             Said::LetGo(late, tell) => self.let_go(late, tell, inputs),
             Said::WindUp(tell) => *winding = Some((tokio::time::Instant::now(), tell)),
