Tell a try's end, read a missing head and take a connection in at one place each

Read again, behaviour as it was, but for one debug line that calls with several now write too. upstream::batch had its own form of the end's line, of a try's time and of what a missing head means: attempt and batch share tell, limit and platform::no_head. The two accept loops of client::serve share take_in. The elder's keys lie with the rest of what is known of it; a call with several no longer copies its tries; kinds that take one message are not looked through for an open call. Times between looks are Durations. tests/handover.rs has its scene with a payout out once.

--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -64,25 +64,23 @@
 
 /// Serves a front until it is told to close; then every request that came whole still gets its answer.
 pub async fn serve(front: Front, seats: Arc<Seats>, mut closing: watch::Receiver<bool>) {
+    let Front { listener, routes, limits, tls } = front;
+    let told = closing.clone();
+    let take_in = |socket, ticket| {
+        tokio::spawn(attend(socket, tls.clone(), routes.clone(), limits, ticket, told.clone()));
+    };
     loop {
         let ticket = tokio::select! {
             ticket = seats.admit() => ticket,
             _ = closing.wait_for(|c| *c) => break,
         };
         let socket = tokio::select! {
-            socket = front.listener.accept() => socket,
+            socket = listener.accept() => socket,
             _ = closing.wait_for(|c| *c) => break,
         };
         match socket {
             Ok((socket, _)) => {
-                tokio::spawn(attend(
-                    socket,
-                    front.tls.clone(),
-                    front.routes.clone(),
-                    front.limits,
-                    ticket,
-                    closing.clone(),
-                ));
+                take_in(socket, ticket);
             }
             // Guards against descriptors that run out: others close soon, and then the next is taken in.
             Err(e) => {
@@ -93,14 +91,12 @@
     }
     // Guards those that stand in its queue already: closing the listener would reset them. What still comes after that goes
     // to the process that shares the address, or is refused.
-    if let Ok(listener) = front.listener.into_std() {
+    if let Ok(listener) = listener.into_std() {
         while let Ok((socket, _)) = listener.accept() {
             let socket = socket.set_nonblocking(true).and_then(|()| TcpStream::from_std(socket));
             match socket {
                 Ok(socket) => {
-                    let ticket = seats.admit().await;
-                    let (tls, routes) = (front.tls.clone(), front.routes.clone());
-                    tokio::spawn(attend(socket, tls, routes, front.limits, ticket, closing.clone()));
+                    take_in(socket, seats.admit().await);
                 }
                 Err(e) => log::warn!("client connection not taken in: {e}"),
             }
--- a/src/core/elder.rs
+++ b/src/core/elder.rs
@@ -20,6 +20,8 @@
     resting: BTreeMap<MsgId, Nanos>,
     /// Messages behind one of those by their key, in their order; the module does not know of them yet.
     behind: HashMap<u64, Vec<MsgId>>,
+    /// The keys of those that are out there.
+    keys: HashMap<MsgId, u64>,
 }
 
 impl Elders {
@@ -109,7 +111,7 @@
         for id in ids {
             if let Some(key) = self.held.get(id).and_then(|h| h.context.key) {
                 self.elders.behind.entry(key).or_default();
-                self.elder_keys.insert(*id, key);
+                self.elders.keys.insert(*id, key);
             }
         }
         log::info!(messages = ids.len(); "calls of the process before are still out");
@@ -150,14 +152,12 @@
         }
         self.elders.out.remove(&id);
         let Some(h) = self.held.get(&id) else { return self.elders_go_on(id) };
-        log::debug!(message = h.context.name, how:?; "heard of a call of the process before");
+        let context = h.context.clone();
+        log::debug!(message = context.name, how:?; "heard of a call of the process before");
         let may_have_run = match how {
             Late::Delivered | Late::Over => {
                 self.ran(id, true);
-                let end = match (how, self.held.get(&id).map(|h| h.context.clone())) {
-                    (Late::Delivered, Some(context)) => self.delivered(&context),
-                    _ => End::Withdrawn,
-                };
+                let end = if how == Late::Delivered { self.delivered(&context) } else { End::Withdrawn };
                 self.end(id, end);
                 self.drop_if_done(id);
                 return self.elders_go_on(id);
@@ -221,7 +221,7 @@
 
     /// The key of this message is free of the elder: the module hears of those behind it, in their order.
     fn elders_go_on(&mut self, id: MsgId) {
-        let Some(key) = self.elder_keys.remove(&id) else { return };
+        let Some(key) = self.elders.keys.remove(&id) else { return };
         for id in self.elders.behind.remove(&key).unwrap_or_default() {
             self.tell_module(id);
         }
--- a/src/core/hand.rs
+++ b/src/core/hand.rs
@@ -53,11 +53,7 @@
         }
         log::warn!(host = uid, out; "by an operator's hand");
         let host = self.uids.get(&uid).copied();
-        if out {
-            self.suspended.insert(uid);
-        } else {
-            self.suspended.remove(&uid);
-        }
+        self.suspend(uid, out);
         if let Some((host, member)) = host.and_then(|h| Some((h, self.hosts.get(&h)?))) {
             let entries = vec![self.entry(host, member)];
             self.events.push(Event::List { whole: false, entries });
@@ -72,6 +68,15 @@
         Hand::Done
     }
 
+    /// Keeps who is out, as an operator said or the journal says.
+    pub(super) fn suspend(&mut self, uid: String, out: bool) {
+        if out {
+            self.suspended.insert(uid);
+        } else {
+            self.suspended.remove(&uid);
+        }
+    }
+
     /// A member as the module is told of it.
     pub(super) fn entry(&self, host: HostId, m: &Member) -> Entry {
         // Guards "out by hand": to the module it is a drain, which it keeps already.
@@ -97,11 +102,9 @@
 
     /// Keeps the figures up that tell how things stand, where somebody is shown them.
     pub(super) fn count(&mut self) {
-        if self.count_at.is_none() {
-            return;
-        }
+        let Some(at) = self.count_at else { return };
         self.figures.set_open(self.open);
-        if self.count_at.is_some_and(|at| self.now >= at) {
+        if self.now >= at {
             self.count_at = Some(self.now + COUNT_EACH);
             let listed = self.hosts.iter().filter(|(_, m)| m.state != Listed::Gone);
             let avoided = |(host, m): &(&HostId, &Member)| {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -79,8 +79,6 @@
     room_log: Nanos,
     figures: Arc<Figures>,
     elders: Elders,
-    /// The keys of messages that are out at the elder.
-    elder_keys: HashMap<MsgId, u64>,
     /// When the endpoints are counted next; never where nobody is shown the figures.
     count_at: Option<Nanos>,
 }
@@ -126,7 +124,6 @@
             room_log: Nanos(0),
             figures: Arc::new(Figures::new(&site.classes)),
             elders: Elders::default(),
-            elder_keys: HashMap::new(),
             count_at: None,
         };
         records.into_iter().for_each(|r| core.replay(r));
--- a/src/core/restart.rs
+++ b/src/core/restart.rs
@@ -54,13 +54,7 @@
             Record::Heard { id } => self.heard(MsgId(id)),
             // These stand in `late` alone.
             Record::Late { .. } | Record::Saw { .. } => {}
-            Record::Suspended { uid, out } => {
-                if out {
-                    self.suspended.insert(uid);
-                } else {
-                    self.suspended.remove(&uid);
-                }
-            }
+            Record::Suspended { uid, out } => self.suspend(uid, out),
             Record::Past { name, repeat_key, until, delivered } => {
                 self.past.add(name, repeat_key, Nanos(until), delivered)
             }
--- a/src/core/tries.rs
+++ b/src/core/tries.rs
@@ -123,7 +123,7 @@
             let once = self.settings.classes.get(context.class).is_some_and(|c| c.effect == Effect::Once);
             let one = Try { id, attempt, host, address, timeout, once, context };
             let most = self.per_call(host);
-            let open = calls.iter_mut().rfind(|call| most > 1 && call[0].host == host);
+            let open = (most > 1).then(|| calls.iter_mut().rfind(|call| call[0].host == host)).flatten();
             match open.filter(|call| fits(call, &one, most)) {
                 Some(call) => call.push(one),
                 None => calls.push(vec![one]),
--- a/src/handover/turn.rs
+++ b/src/handover/turn.rs
@@ -2,17 +2,20 @@
 //! the daemon drives it with locks of the kernel's, the model (`crates/lab/tests/handover.rs`) with all interleavings of
 //! two processes.
 use crate::interface::Nanos;
+use std::time::Duration;
 
 /// How long client connections may take to end before the journal is let go; what comes on those that are left is
 /// refused then. With the times between two looks at the locks it stays under the 400 ms that a client waits for its
 /// answer, which is how long one may stand in the queue of the process that does not own the journal yet.
 pub const CLOSE_FOR: Nanos = Nanos(150_000_000);
-/// The time between two looks at the locks, in seconds, of a process that waits for something; and of one that serves,
+/// The time between two looks at the locks, of a process that waits for something; and of one that serves,
 /// which looks all its life and mostly in vain.
-pub const LOOK_EACH: f64 = 0.02;
-pub const LOOK_SERVING: f64 = 0.05;
-const _: () =
-    assert!(LOOK_SERVING + 2.0 * LOOK_EACH + CLOSE_FOR.0 as f64 / 1e9 < 0.3, "a client waits 0.4 s");
+pub const LOOK_EACH: Duration = Duration::from_millis(20);
+pub const LOOK_SERVING: Duration = Duration::from_millis(50);
+const _: () = assert!(
+    LOOK_SERVING.as_nanos() + 2 * LOOK_EACH.as_nanos() + (CLOSE_FOR.0 as u128) < 300_000_000,
+    "a client waits 0.4 s"
+);
 
 /// Where a process stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -73,8 +76,8 @@
         Turn { stage: Stage::Waiting }
     }
 
-    /// Seconds until the next look.
-    pub fn pause(&self) -> f64 {
+    /// How long until the next look.
+    pub fn pause(&self) -> Duration {
         match self.stage {
             Stage::Serving => LOOK_SERVING,
             Stage::Waiting | Stage::Closing { .. } | Stage::Left => LOOK_EACH,
--- a/src/main.rs
+++ b/src/main.rs
@@ -104,7 +104,7 @@
         }
         tokio::select! {
             _ = terminate.recv() => return Ok(None),
-            () = tokio::time::sleep(Duration::from_secs_f64(LOOK_EACH)) => {}
+            () = tokio::time::sleep(LOOK_EACH) => {}
         }
     }
 }
@@ -117,11 +117,11 @@
         if over {
             // Guards what it says against a kill before it is in the journal.
             while exchange.bound() {
-                tokio::time::sleep(Duration::from_secs_f64(LOOK_EACH)).await;
+                tokio::time::sleep(LOOK_EACH).await;
             }
             return left.remove();
         }
-        tokio::time::sleep(Duration::from_secs_f64(LOOK_EACH)).await;
+        tokio::time::sleep(LOOK_EACH).await;
     }
 }
 
@@ -192,7 +192,7 @@
         // Nobody asks where no operator starts a second process; and then nothing is looked at.
         tokio::select! {
             _ = terminate.recv() => break,
-            () = tokio::time::sleep(Duration::from_secs_f64(turn.pause())), if shared => {}
+            () = tokio::time::sleep(turn.pause()), if shared => {}
         }
         let clients = !serving.is_finished();
         let (asked, bound) = (folder.is_held(Name::Next), exchange.bound());
@@ -258,7 +258,7 @@
                 log::info!("told to end: finishing calls");
                 gone_by = Some(tokio::time::Instant::now() + exchange::GONE_BY);
             }
-            () = tokio::time::sleep(Duration::from_secs_f64(LOOK_EACH)) => {}
+            () = tokio::time::sleep(LOOK_EACH) => {}
         }
     }
 }
--- a/src/upstream/batch.rs
+++ b/src/upstream/batch.rs
@@ -2,10 +2,10 @@
 //! of them ended. Each keeps its own time and can be called off alone; what that means for the others is settled here.
 use super::platform::{self, ending};
 use super::pool::Pool;
-use super::Ending;
+use super::{limit, tell, Ending};
 use crate::core::Try;
 use crate::exchange::Exchange;
-use crate::{MsgId, Nanos, Outcome};
+use crate::{MsgId, Outcome};
 use bytes::{BufMut, Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::HeaderMap;
@@ -26,8 +26,8 @@
 pub type Place = (MsgId, u32);
 
 /// One message of the call, until its end is told.
-struct Open {
-    one: Try,
+struct Open<'a> {
+    one: &'a Try,
     until: Instant,
     called_off: bool,
 }
@@ -35,26 +35,24 @@
 /// Carries out one call with several messages, and tells the end of each.
 pub async fn run(pool: Arc<Pool>, tries: Vec<Try>, exchange: Exchange, mut off: UnboundedReceiver<Place>) {
     let now = Instant::now();
-    let until = |one: &Try| now + Duration::from_nanos(one.timeout.max(Nanos(1_000_000)).0);
-    let begin = |one: &Try| Open { until: until(one), one: one.clone(), called_off: false };
-    let mut open: Vec<Open> = tries.iter().map(begin).collect();
+    let begin = |one| Open { one, until: now + limit(one), called_off: false };
+    let mut open: Vec<Open<'_>> = tries.iter().map(begin).collect();
     let call = call(pool, &tries, &exchange);
     tokio::pin!(call);
     loop {
         let Some(next) = open.iter().map(|o| o.until).min() else { return };
-        let (gone, outcome): (Vec<Open>, Outcome) = tokio::select! {
+        let (gone, outcome): (Vec<Open<'_>>, Outcome) = tokio::select! {
             biased;
             endings = &mut call => {
                 for o in open {
-                    let ending = endings.of(&o.one);
-                    tell(&exchange, &o.one, ending);
+                    tell(&exchange, o.one, endings.of(o.one));
                 }
                 return;
             }
             Some(place) = off.recv() => {
                 // Guards the others: what is called off alone does not end the call that carries them; its outcome comes with
                 // theirs, or once all are called off.
-                let here = |o: &&mut Open| (o.one.id, o.one.attempt) == place;
+                let here = |o: &&mut Open<'_>| (o.one.id, o.one.attempt) == place;
                 open.iter_mut().filter(here).for_each(|o| o.called_off = true);
                 if open.iter().any(|o| !o.called_off) {
                     continue;
@@ -69,21 +67,15 @@
         // Out of its time. Guards "order by key": its next message may not go while this one is still out on an open
         // connection.
         let keyed = gone.iter().any(|o| o.one.context.key.is_some());
-        gone.into_iter().for_each(|o| tell(&exchange, &o.one, outcome.into()));
+        gone.into_iter().for_each(|o| tell(&exchange, o.one, outcome.into()));
         // Guards what must not run twice: giving the call up forfeits it, so the others' time is no reason to.
         if keyed || !open.iter().any(|o| o.one.once) {
-            open.into_iter().for_each(|o| tell(&exchange, &o.one, Outcome::Cancelled.into()));
+            open.into_iter().for_each(|o| tell(&exchange, o.one, Outcome::Cancelled.into()));
             return;
         }
     }
 }
 
-fn tell(exchange: &Exchange, one: &Try, ending: Ending) {
-    let (message, dest) = (&one.context.name, one.context.dest);
-    log::debug!(message, outcome:? = ending.outcome, "try" = one.attempt, dest, report:? = ending.report; "try ended");
-    exchange.try_ended(one.id, one.attempt, ending.outcome, ending.over, ending.report);
-}
-
 /// How the messages of a call ended.
 struct Endings {
     /// Those of which the answer speaks, and those that did not go.
@@ -131,12 +123,7 @@
     let watch = call.watch.clone();
     let (answer, seat) = match call.head().await {
         Ok(done) => done,
-        Err(e) if watch.heard() => {
-            return Endings { each: unsent, rest: platform::spoilt(place, &e.to_string()) }
-        }
-        // Found closed before the first byte went out: that is no word on its endpoint.
-        Err(_) if watch.unsent() => return Endings { each: unsent, rest: Outcome::Moot.into() },
-        Err(e) => return Endings { each: unsent, rest: platform::broken(place, &e) },
+        Err(e) => return Endings { each: unsent, rest: platform::no_head(&watch, place, &e) },
     };
     let (head, text) = answer.into_parts();
     let whole = timeout(REST_FOR, Limited::new(text, ANSWER_MOST).collect()).await;
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -105,7 +105,6 @@
 }
 
 async fn attempt(pool: Arc<Pool>, one: Try, book: Option<Arc<Book>>, exchange: Exchange) {
-    let limit = Duration::from_nanos(one.timeout.max(Nanos(1_000_000)).0);
     let partner = book.as_ref().and_then(|b| Some((b, b.at(&one.address)?)));
     let call = async {
         match partner {
@@ -113,7 +112,17 @@
             None => platform::call(pool, &one, &exchange).await,
         }
     };
-    let ending = timeout(limit, call).await.unwrap_or(Outcome::Timeout.into());
+    let ending = timeout(limit(&one), call).await.unwrap_or(Outcome::Timeout.into());
+    tell(&exchange, &one, ending);
+}
+
+/// How long this try may take; 1 ms at the least.
+fn limit(one: &Try) -> Duration {
+    Duration::from_nanos(one.timeout.max(Nanos(1_000_000)).0)
+}
+
+/// The one place where a try's end is told, alone in its call or among others.
+fn tell(exchange: &Exchange, one: &Try, ending: Ending) {
     let (message, dest) = (&one.context.name, one.context.dest);
     log::debug!(message, outcome:? = ending.outcome, "try" = one.attempt, dest, report:? = ending.report; "try ended");
     exchange.try_ended(one.id, one.attempt, ending.outcome, ending.over, ending.report);
--- a/src/upstream/platform.rs
+++ b/src/upstream/platform.rs
@@ -105,14 +105,21 @@
             ending
         }
         Err(_) if watch.says_ok() => Outcome::Ok.into(),
-        Err(e) if watch.heard() => spoilt(place, &e.to_string()),
-        // Found closed before the first byte went out: that is no word on its endpoint, only on a connection.
-        Err(e) if watch.unsent() => {
-            log::debug!("{place}: {e}: not sent");
-            Outcome::Moot.into()
-        }
-        Err(e) => broken(place, &e),
+        Err(e) => no_head(watch, place, &e),
+    }
+}
+
+/// What it means that no head of an answer could be read.
+pub(super) fn no_head(watch: &Watch, place: &str, fault: &Fault) -> Ending {
+    if watch.heard() {
+        return spoilt(place, &fault.to_string());
+    }
+    // Found closed before the first byte went out: that is no word on its endpoint, only on a connection.
+    if watch.unsent() {
+        log::debug!("{place}: {fault}: not sent");
+        return Outcome::Moot.into();
     }
+    broken(place, fault)
 }
 
 /// Whether its connection ends with this answer. On a new one, beside a refusal without a wait, that is the word of
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -50,6 +50,14 @@
     Scene { gate, endpoint, disco, old }
 }
 
+/// The same with the call of the payout `slow-p` out.
+fn payout_out(slow: &'static str, headers: &'static str) -> Scene {
+    let s = scene(slow, headers);
+    assert_eq!(s.old.hand_in("payout", "slow-p"), 202);
+    s.endpoint.wait_id("slow-p");
+    s
+}
+
 impl Scene {
     fn second(&self) -> (Daemon, SocketAddr) {
         let mgmt = free_place();
@@ -143,9 +151,7 @@
 
 #[test]
 fn a_payout_whose_old_process_is_killed_is_undeliverable_and_never_sent_again() {
-    let mut s = scene("200 OK", "");
-    assert_eq!(s.old.hand_in("payout", "slow-p"), 202);
-    s.endpoint.wait_id("slow-p");
+    let mut s = payout_out("200 OK", "");
     let _new = s.handed_over();
     s.old.kill();
     s.disco.wait_text(r#"{"id":"slow-p","status":"undeliverable"}"#);
@@ -154,9 +160,7 @@
 
 #[test]
 fn one_that_never_ran_at_the_old_process_is_sent_by_the_new_one() {
-    let s = scene("503 Full", "");
-    assert_eq!(s.old.hand_in("payout", "slow-p"), 202);
-    s.endpoint.wait_id("slow-p");
+    let s = payout_out("503 Full", "");
     let _new = s.handed_over();
     s.gate.open();
     s.endpoint.wait("the second try", |all| all.iter().filter(|h| h.id() == "slow-p").count() >= 2);
@@ -164,9 +168,7 @@
 
 #[test]
 fn a_wait_told_to_the_old_process_binds_the_new_one() {
-    let s = scene("429 Later", "Retry-After: 1.5\r\n");
-    assert_eq!(s.old.hand_in("payout", "slow-p"), 202);
-    s.endpoint.wait_id("slow-p");
+    let s = payout_out("429 Later", "Retry-After: 1.5\r\n");
     let new = s.handed_over();
     let before = new.log().len();
     let told = Instant::now();
@@ -179,9 +181,7 @@
 
 #[test]
 fn one_that_asks_and_never_comes_up_leaves_the_old_one_serving() {
-    let s = scene("200 OK", "");
-    assert_eq!(s.old.hand_in("payout", "slow-p"), 202);
-    s.endpoint.wait_id("slow-p");
+    let s = payout_out("200 OK", "");
     // It asks for the folder, and that is all it does.
     let asks = File::create(s.old.folder.join("state/next")).expect("a file");
     asks.lock().expect("its lock");
