--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::spawn_blocking;
+use tokio::time::timeout;
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 
@@ -68,7 +69,8 @@
     }
     let mut second = call(&pool).await.expect("the connection that stands");
     let watch = second.watch.clone();
-    let fault = second.head().await.err().expect("no answer");
+    let head = timeout(Duration::from_secs(5), second.head()).await.expect("it does not wait for an answer");
+    let fault = head.err().expect("no answer");
     assert!(!watch.says_ok() && !watch.heard());
     assert_eq!(no_head(&watch, "the endpoint", &fault).outcome, Outcome::Moot);
     drop(second);
--- /dev/null
+++ b/tests/sites.rs
@@ -0,0 +1,86 @@
+//! The real program under the settings of each site variant in `deploy/sites`: it starts, takes messages of each class
+//! on, delivers them, and after a kill and a restart delivers what was left.
+mod stand;
+use rstest::rstest;
+use serde_json::Value;
+use stand::*;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+/// The names that a request needs from the settings.
+struct Site {
+    settings: String,
+    /// Each class, and the time that its messages have.
+    classes: Vec<(String, u64)>,
+    tenant: Option<String>,
+}
+
+fn site(name: &str) -> Site {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/sites").join(name).join("settings.json");
+    let settings = std::fs::read_to_string(&path).expect("its settings");
+    let read: Value = serde_json::from_str(&settings).expect("JSON");
+    let class = |c: &Value| {
+        let name = c["name"].as_str().expect("a name").to_string();
+        (name, c["deadlineNs"].as_u64().expect("a deadline") / 1_000_000)
+    };
+    let classes = read["classes"].as_array().expect("classes").iter().map(class).collect();
+    let tenant = read["tenants"].as_array().expect("tenants").first();
+    let tenant = tenant.map(|t| t["name"].as_str().expect("a name").to_string());
+    Site { settings, classes, tenant }
+}
+
+/// One message of this class for dest 7, in the form of the protocol page: no tenant is named where there is none.
+fn request(site: &Site, class: &str, deadline_ms: u64, id: &str) -> Vec<u8> {
+    let tenant = site.tenant.as_ref().map(|t| format!("X-Tenant: {t}\r\n")).unwrap_or_default();
+    let body = format!("body of {id}");
+    format!(
+        "POST /{class} HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: {id}\r\nX-Class: {class}\r\n{tenant}\
+         X-Key: 7f3a9c21e0b4d655\r\nX-Deadline: {deadline_ms}m\r\nIdempotency-Key: key-{id}\r\nX-Envelope: dest=7\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+#[rstest]
+#[case::no_tenants_one_class_in_order("quayside-alerts")]
+#[case::six_classes_and_told_limits("orchard-freight")]
+fn messages_of_each_class_are_taken_on_and_delivered_also_over_a_restart(#[case] name: &str) {
+    let site = site(name);
+    let open = Arc::new(AtomicBool::new(true));
+    let is_open = open.clone();
+    let endpoint = Server::start(move |_, _| match is_open.load(Ordering::Relaxed) {
+        true => say("200 OK", "", ""),
+        // Turned away, never run: it stays owed.
+        false => say("503 Later", "", ""),
+    });
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = discovery(known.clone());
+    let settings = Some(site.settings.clone());
+    let mut daemon = Setup { settings, ..setup(&disco, known) }.start();
+    let hand_in = |daemon: &Daemon, which: &str| -> Vec<String> {
+        let one = |(class, deadline): &(String, u64)| {
+            let id = format!("{class}-{which}");
+            let answer = daemon.ask(&request(&site, class, *deadline, &id)).expect("an answer");
+            assert_eq!(answer.status(), 202, "{id}: {}", answer.text());
+            id
+        };
+        site.classes.iter().map(one).collect()
+    };
+    for id in hand_in(&daemon, "first") {
+        assert_eq!(endpoint.wait_id(&id).text(), format!("body of {id}"));
+    }
+    open.store(false, Ordering::Relaxed);
+    let held = hand_in(&daemon, "held");
+    daemon.kill();
+    let before = endpoint.heard().len();
+    open.store(true, Ordering::Relaxed);
+    daemon.start_again();
+    for id in &held {
+        let is_over = |all: &[Heard]| all[before..].iter().any(|h| h.id() == id);
+        endpoint.wait(id, is_over);
+    }
+    let wrong = daemon.ask(&request(&site, "no-such-class", 1000, "wrong")).expect("an answer");
+    assert_eq!(wrong.status(), 404);
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -218,6 +218,8 @@
     pub open_cap: u32,
     pub disk_mb: f64,
     pub sockets: u32,
+    /// The settings in place of the stand's own.
+    pub settings: Option<String>,
     /// Texts of the settings, and what stands in their place.
     pub swaps: Vec<(&'static str, &'static str)>,
     pub env: Vec<(String, String)>,
@@ -229,7 +231,19 @@
 
 pub fn setup(discovery: &Server, known: String) -> Setup<'_> {
     let (swaps, env, flags, listen) = (Vec::new(), Vec::new(), Vec::new(), None);
-    Setup { discovery, known, open_cap: 100, disk_mb: 3.0, sockets: 1024, swaps, env, flags, listen }
+    let settings = None;
+    Setup {
+        discovery,
+        known,
+        open_cap: 100,
+        disk_mb: 3.0,
+        sockets: 1024,
+        settings,
+        swaps,
+        env,
+        flags,
+        listen,
+    }
 }
 
 impl Setup<'_> {
@@ -255,7 +269,8 @@
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(folder.join("state")).expect("a folder");
         let addr = self.listen.unwrap_or_else(free_place);
-        let mut settings = SETTINGS.replace("OPENCAP", &self.open_cap.to_string());
+        let own = || SETTINGS.replace("OPENCAP", &self.open_cap.to_string());
+        let mut settings = self.settings.clone().unwrap_or_else(own);
         for (from, to) in &self.swaps {
             assert!(settings.contains(from), "the settings say {from}");
             settings = settings.replace(from, to);
