--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -1,10 +1,15 @@
 //! A planned restart: clients go on sending on all the connections they have, and open new ones for a while.
 mod stand;
+use micaladder::journal::{Journal, Record, Taken};
+use micaladder::{clock, Nanos};
+use rstest::rstest;
 use stand::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -82,3 +87,56 @@
         assert!(all.iter().filter(|h| h.id() == id).count() <= 1, "a payout came twice: {id}");
     }
 }
+
+/// Discovery that says nothing, or refuses, until the list may come.
+fn late_discovery(known: String, silent: bool, comes: Arc<AtomicBool>) -> Server {
+    Server::start(move |heard, _| match (heard.first.starts_with("POST"), comes.load(Ordering::Relaxed)) {
+        (true, _) => say("204 No Content", "", ""),
+        (false, true) => watch(&known),
+        (false, false) if silent => Reply::Hold(String::new()),
+        (false, false) => Reply::Cut,
+    })
+}
+
+/// A payout as the journal keeps it.
+fn payout(id: u64, deadline: u64) -> Record {
+    Record::Taken(Taken {
+        id,
+        name: format!("p{id}"),
+        origin: String::new(),
+        class: 2,
+        tenant: 0,
+        key: None,
+        dest: 7,
+        deadline,
+        repeat_key: String::new(),
+        body: vec![b'x'; 1024].into(),
+    })
+}
+
+/// With the largest journal that its folder may hold, and discovery silent or down, a process is ready long before the 10 s
+/// within which it must be; and all that it found untried is tried once its list has come, though it may run once only.
+#[rstest]
+#[case::silent(true)]
+#[case::down(false)]
+fn with_a_full_journal_it_is_ready_in_time_and_tries_all_that_it_found(#[case] silent: bool) {
+    let endpoint = Server::always("200 OK");
+    let comes = Arc::new(AtomicBool::new(false));
+    let disco = late_discovery(list(2, &[(7, endpoint.addr)]), silent, comes.clone());
+    let mut daemon = Setup { open_cap: 100_000, ..setup(&disco, list(1, &[])) }.start();
+    daemon.kill();
+    let state = daemon.folder.join("state");
+    let (mut journal, found) = Journal::open(&state, 3_000_000).expect("a journal");
+    assert!(found.is_empty());
+    let deadline = clock::now() + Nanos::from_secs(19.0);
+    let full = (1..).find(|id| journal.append(&payout(*id, deadline.0)).is_err()).expect("an end");
+    assert!(full > 1000, "{full} messages fill it");
+    drop(journal);
+    let begun = Instant::now();
+    daemon.start_again();
+    assert!(begun.elapsed() < Duration::from_secs(5), "{:?}", begun.elapsed());
+    comes.store(true, Ordering::Relaxed);
+    let all = endpoint.wait("all that was found", |all| all.len() as u64 >= full - 1);
+    let ids: BTreeSet<&str> = all.iter().map(Heard::id).collect();
+    assert_eq!((ids.len() as u64, all.len() as u64), (full - 1, full - 1), "each once");
+}
