Refuse and not fail what comes before the first list; test signals and idle clients

By reading: core::door answered 404, which is final, to every message while no list had come (known list empty, discovery down). Now 503 with a wait, until a list names destinations. Test: without_any_list_a_message_is_refused_and_not_failed. Ruled out by a test each, green at once: a second SIGTERM or a reload in the midst of ending; idle clients that fill the descriptors while discovery is down.

--- a/src/core/door.rs
+++ b/src/core/door.rs
@@ -32,6 +32,9 @@
             } else {
                 Answer::Reject(self.come_back())
             }
+        } else if self.dests.is_empty() {
+            // No list has come yet: which destinations there are is not known, and coming again is harmless.
+            Answer::Reject(self.come_back())
         } else if !self.dests.contains(&context.dest) {
             Answer::Unknown
         } else if context.deadline <= self.now {
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -4,6 +4,8 @@
 use stand::*;
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 fn start(endpoint: &Server, sockets: u32) -> (Server, Daemon) {
@@ -99,6 +101,54 @@
     assert!(begun.elapsed() < Duration::from_millis(1000), "{:?}", begun.elapsed());
 }
 
+/// Idle clients fill their share of the descriptors while discovery is down: what is left serves the journal, the
+/// endpoints and the next asks, and the list comes through once discovery is back.
+#[test]
+fn idle_clients_leave_descriptors_for_all_else_while_discovery_is_down() {
+    let (old, new) = (Server::always("200 OK"), Server::always("200 OK"));
+    let fresh = list(2, &[(7, new.addr)]).replace("s-0", "s-1");
+    let back = Arc::new(AtomicBool::new(false));
+    let is_back = back.clone();
+    let disco =
+        Server::start(move |heard, _| match (heard.first.starts_with("GET"), is_back.load(Relaxed)) {
+            (false, _) => say("204 No Content", "", ""),
+            (true, false) => Reply::Cut,
+            (true, true) => watch(&fresh),
+        });
+    let daemon = Setup { sockets: 60, ..setup(&disco, list(1, &[(7, old.addr)])) }.start();
+    daemon.descriptors(60);
+    let open: Vec<_> = (0..60).map(|_| daemon.connect()).collect();
+    assert_eq!(daemon.hand_in("stats", "meanwhile"), 202);
+    old.wait_id("meanwhile");
+    assert!(daemon.held_descriptors() < 60, "{}", daemon.held_descriptors());
+    back.store(true, Relaxed);
+    daemon.wait_log("upstream group: version 2");
+    assert_eq!(daemon.hand_in("stats", "after"), 202);
+    new.wait_id("after");
+    assert!(!daemon.log().contains("not taken in"), "no descriptor is wanting");
+    drop(open);
+}
+
+/// Before the first list nobody knows which destinations there are: coming again is harmless, and the first list answers.
+#[test]
+fn without_any_list_a_message_is_refused_and_not_failed() {
+    let endpoint = Server::always("200 OK");
+    let back = Arc::new(AtomicBool::new(false));
+    let (is_back, fresh) = (back.clone(), list(2, &[(7, endpoint.addr)]));
+    let disco = Server::start(move |_, _| match is_back.load(Relaxed) {
+        false => Reply::Cut,
+        true => watch(&fresh),
+    });
+    let daemon = setup(&disco, list(1, &[])).start();
+    let early = daemon.ask(&message("stats", "early", "9000m", "")).expect("an answer");
+    assert_eq!((early.status(), early.header("retry-after")), (503, Some("1.000")));
+    back.store(true, Relaxed);
+    daemon.wait_log("upstream group: version 2");
+    assert_eq!(daemon.hand_in("stats", "early"), 202);
+    let other = String::from_utf8(message("stats", "other", "9000m", "")).expect("text");
+    assert_eq!(daemon.ask(other.replace("dest=7", "dest=8").as_bytes()).map(|h| h.status()), Some(404));
+}
+
 #[test]
 fn it_goes_on_when_descriptors_run_out() {
     let endpoint = Server::always("200 OK");
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -140,3 +140,28 @@
     let ids: BTreeSet<&str> = all.iter().map(Heard::id).collect();
     assert_eq!((ids.len() as u64, all.len() as u64), (full - 1, full - 1), "each once");
 }
+
+/// A second SIGTERM, and a reload before or after it, change nothing of how the process ends.
+#[rstest]
+#[case::twice(&["-TERM", "-TERM"])]
+#[case::reload_first(&["-HUP", "-TERM"])]
+#[case::reload_between(&["-TERM", "-HUP", "-TERM", "-TERM"])]
+fn signals_that_come_while_it_ends_change_nothing(#[case] signals: &[&str]) {
+    let endpoint = Server::always("200 OK");
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = discovery(known.clone());
+    let mut daemon = setup(&disco, known).start();
+    let client = daemon.connect();
+    assert_eq!(hand_in(&client, "payout", "before"), Some(202));
+    signals.iter().for_each(|signal| daemon.signal(signal));
+    daemon.wait_log("told to end");
+    let told = Instant::now();
+    let sent = sends_on(&client, "payout", "while");
+    assert!(daemon.wait_end(KILL_AFTER - told.elapsed()).success());
+    let taken = || sent.iter().filter(|s| s.1 == Some(202)).map(|s| s.0.as_str()).chain(["before"]);
+    assert!(taken().count() > 2, "it serves on while it ends: {sent:?}");
+    daemon.start_again();
+    let is_over = |all: &[Heard], id: &str| all.iter().any(|h| h.id() == id);
+    let all = endpoint.wait("all that was taken on", |all| taken().all(|id| is_over(all, id)));
+    assert!(taken().all(|id| all.iter().filter(|h| h.id() == id).count() == 1), "each once");
+}
