Move all tests from the sources into test files

tests/layout.rs: packages that are a file and a folder of one name overwrote each other in it, so the imports of one were not looked at; now both count. It passes over test files by their name in place of a text in the source, and a new check holds that no source has tests of its own.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,14 +8,14 @@
 mod door;
 mod elder;
 mod ends;
-#[cfg(test)]
-mod faults;
 mod group;
 mod hand;
 mod held;
 mod ledger;
 mod orders;
 mod restart;
+#[cfg(test)]
+mod tests;
 mod tries;
 
 pub use hand::Hand;
--- a/src/neighbours/trust.rs
+++ b/src/neighbours/trust.rs
@@ -140,11 +140,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_name_is_a_name() {
-        assert!(matches!(server_name(), ServerName::DnsName(n) if n.as_ref() == NAME));
-    }
-}
+mod tests;
--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -31,11 +31,10 @@
     found
 }
 
-/// What a file says outside its tests and comments.
+/// What a file says outside its comments.
 fn code(path: &Path) -> String {
     let text = std::fs::read_to_string(path).expect("a source");
-    let shipped = text.split("mod tests {").next().unwrap_or_default();
-    shipped.lines().filter(|l| !l.trim_start().starts_with("//")).collect::<Vec<_>>().join("\n")
+    text.lines().filter(|l| !l.trim_start().starts_with("//")).collect::<Vec<_>>().join("\n")
 }
 
 fn sources(of: &Path) -> Vec<std::path::PathBuf> {
@@ -55,16 +54,18 @@
         if ["lib", "main", "bin"].contains(&name.as_str()) {
             continue;
         }
-        let files = sources(&path).into_iter().filter(|p| !p.ends_with("core/faults.rs"));
+        // Tests of private modules stand beside them, in files of their own.
+        let files = sources(&path).into_iter().filter(|p| !p.ends_with("tests.rs"));
         // Types stand at the root as well; all but one are the interface's.
         let home = |n: String| match n.as_str() {
             "Balancer" => "logic".to_string(),
             _ if n.starts_with(char::is_uppercase) => "interface".to_string(),
             _ => n,
         };
-        let mut to: BTreeSet<String> = files.flat_map(|p| imports(&code(&p))).map(home).collect();
-        to.remove(&name);
-        all.insert(name, to);
+        let to: BTreeSet<String> = files.flat_map(|p| imports(&code(&p))).map(home).collect();
+        // A package may be a file and a folder of the same name.
+        let known: &mut BTreeSet<String> = all.entry(name.clone()).or_default();
+        known.extend(to.into_iter().filter(|n| *n != name));
     }
     all
 }
@@ -90,6 +91,19 @@
     assert_eq!(circles(all), Vec::<String>::new());
 }
 
+/// Tests live in test files: `tests/`, or `tests.rs` beside a private module.
+#[test]
+fn no_source_holds_its_tests_itself() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let files = ["src", "crates/lab/src"].iter().flat_map(|s| sources(&root.join(s)));
+    let inline = |p: &std::path::PathBuf| {
+        let is_test = p.ends_with("tests.rs");
+        let text = std::fs::read_to_string(p).expect("a source");
+        !is_test && (text.contains("mod tests {") || text.contains("#[test]"))
+    };
+    assert_eq!(files.filter(inline).collect::<Vec<_>>(), Vec::<std::path::PathBuf>::new());
+}
+
 #[test]
 fn a_circle_is_found() {
     let of = |to: &[&str]| to.iter().map(|n| n.to_string()).collect::<BTreeSet<_>>();
