--- a/src/client/as2.rs
+++ b/src/client/as2.rs
@@ -99,7 +99,7 @@
     let Some(context) = front.context(partner, message, text(&headers, "subject"), origin, payload) else {
         return front.receipt(partner, message, "unexpected-processing-error", Some(mic), &wants);
     };
-    match front.exchange.hand_in(context).await {
+    match front.exchange.submit(context).await {
         // Who wants the receipt later gets it when the message is over: one answer, and the final one.
         Answer::Taken if wants.later => StatusCode::OK.into_response(),
         Answer::Taken | Answer::Delivered => front.receipt(partner, message, "", Some(mic), &wants),
--- a/src/client/platform.rs
+++ b/src/client/platform.rs
@@ -44,7 +44,7 @@
     State(front): State<Arc<Front>>, Path(path): Path<String>, headers: HeaderMap, body: Bytes,
 ) -> Response {
     match context(&front.site, &path, &headers, body) {
-        Ok(context) => answer(front.exchange.hand_in(context).await),
+        Ok(context) => answer(front.exchange.submit(context).await),
         Err((status, why)) => (status, why).into_response(),
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -145,12 +145,12 @@
     let plugins = plugins::Plugins::load(&said.files.plugins);
     let (elder, now) = (left.is_some(), clock::now());
     let core = core::Core::new(&config.site, config.seed, standing, plugins, journal, elder, now);
-    let (exchange, exchange::Works { tries, notices, words }) = exchange::Exchange::new(core);
+    let (exchange, exchange::Outputs { calls, notices, words }) = exchange::Exchange::new(core);
     exchange.regroup(true, discovery::members(&config.site, &config.known));
     if let Some(left) = left {
         tokio::spawn(hear_elder(left, exchange.clone()));
     }
-    tokio::spawn(upstream::run(config.site.clone(), book.clone(), exchange.clone(), tries));
+    tokio::spawn(upstream::run(config.site.clone(), book.clone(), exchange.clone(), calls));
     let (moves, discovery) = tokio::sync::watch::channel(config.discovery.clone());
     let (told, list) = tokio::sync::watch::channel(config.known.rev);
     let changes = neighbours::Changes { list, discovery: discovery.clone() };
@@ -234,7 +234,7 @@
     if let Some(fleet) = &fleet {
         fleet.drain().await;
     }
-    exchange.wind_up().await;
+    exchange.shut_down().await;
     let _ = tokio::time::timeout(client::LAST_ANSWERS, serving).await;
     tokio::time::sleep(client::FAREWELL).await;
     if let Some(fleet) = &fleet {
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::as2::Book;
 use crate::core::Try;
-use crate::exchange::{Exchange, Work};
+use crate::exchange::{Exchange, UpstreamCommand};
 use crate::settings::Site;
 use crate::{HostId, Nanos, Outcome, Report};
 use pool::Pool;
@@ -53,7 +53,8 @@
 
 /// Carries out tries as the exchange hands them over.
 pub async fn run(
-    site: Arc<Site>, book: Option<Arc<Book>>, exchange: Exchange, mut works: UnboundedReceiver<Work>,
+    site: Arc<Site>, book: Option<Arc<Book>>, exchange: Exchange,
+    mut works: UnboundedReceiver<UpstreamCommand>,
 ) {
     let mut pools: BTreeMap<HostId, Arc<Pool>> = BTreeMap::new();
     let mut out: BTreeMap<batch::Place, Out> = BTreeMap::new();
@@ -69,7 +70,7 @@
         };
         let Some(work) = work else { return };
         match work {
-            Work::Call(tries) => {
+            UpstreamCommand::Call(tries) => {
                 let Some(first) = tries.first() else { continue };
                 let new = || Arc::new(Pool::new(&site, first.address.clone()));
                 let pool = pools.entry(first.host).or_insert_with(new);
@@ -91,17 +92,19 @@
                     out.insert(place, Out::Alone(task.abort_handle()));
                 }
             }
-            Work::GiveUp { id, attempt } => match out.remove(&(id, attempt)).filter(|call| !call.is_over()) {
-                // Dropping the call closes its connection, which calls it off.
-                Some(Out::Alone(task)) => {
-                    task.abort();
-                    exchange.try_ended(id, attempt, Outcome::Cancelled, false, None);
+            UpstreamCommand::GiveUp { id, attempt } => {
+                match out.remove(&(id, attempt)).filter(|call| !call.is_over()) {
+                    // Dropping the call closes its connection, which calls it off.
+                    Some(Out::Alone(task)) => {
+                        task.abort();
+                        exchange.try_ended(id, attempt, Outcome::Cancelled, false, None);
+                    }
+                    Some(Out::Among(off)) => drop(off.send((id, attempt))),
+                    None => {}
                 }
-                Some(Out::Among(off)) => drop(off.send((id, attempt))),
-                None => {}
-            },
+            }
             // Calls that are out go on, and close theirs when they end.
-            Work::Release(host) => pools.remove(&host).into_iter().for_each(|p| p.close()),
+            UpstreamCommand::Release(host) => pools.remove(&host).into_iter().for_each(|p| p.close()),
         }
     }
 }
