--- a/src/core/door.rs
+++ b/src/core/door.rs
@@ -2,9 +2,9 @@
 use super::held::{weigh, Held};
 use super::orders::{Answer, Order};
 use super::Core;
-use crate::figures::Ending;
 use crate::interface::{Action, Event, MsgId, Nanos};
 use crate::journal::{self, End, Record};
+use crate::metrics::Ending;
 use crate::plugins::Verdict;
 use crate::request::{Outlook, RequestContext};
 use std::collections::BTreeMap;
@@ -17,7 +17,7 @@
     /// Decides what can be told at once; else hands the message to the module, and gives its id.
     pub(super) fn handed(&mut self, id: MsgId, mut context: RequestContext) -> Option<MsgId> {
         let (weight, class) = (weigh(&context), context.class);
-        let answer = if let Some(delivered) = self.past.delivered(&context.name, &context.repeat_key) {
+        let answer = if let Some(delivered) = self.ended.delivered(&context.name, &context.repeat_key) {
             if delivered {
                 Answer::Delivered
             } else {
@@ -41,7 +41,7 @@
             Answer::Failed
         } else if self.open >= self.settings.open_cap || self.ledger.stuck() {
             Answer::Reject(self.come_back())
-        } else if self.weight + self.past.weight() + weight > self.ledger.room() {
+        } else if self.weight + self.ended.weight() + weight > self.ledger.room() {
             if self.now >= self.room_log {
                 log::warn!("reject: no room in the journal");
                 self.room_log = self.now + LOG_EACH;
@@ -135,7 +135,7 @@
             Answer::Unknown | Answer::Failed => Some(Ending::Faulted),
         };
         if let Some(ending) = ending {
-            self.figures.ended(class, ending);
+            self.metrics.ended(class, ending);
         }
         self.orders.push(Order::Answer(id, answer));
     }
--- a/src/core/ends.rs
+++ b/src/core/ends.rs
@@ -33,7 +33,7 @@
         let end = if written { end } else { self.end_unwritten(&context, end) };
         self.close(id, end);
         if let Some(ending) = ending(end) {
-            self.figures.ended(context.class, ending);
+            self.metrics.ended(context.class, ending);
         }
         let Some(h) = self.held.get_mut(&id) else { return };
         let word = owes_word(&context, end).then(|| Order::Notice(h.notice(id, end)));
@@ -102,8 +102,8 @@
         };
         let until = context.deadline.max(at + window) + REMEMBER;
         let (name, repeat_key) = (context.name.clone(), context.repeat_key.clone());
-        self.past.forget(self.now);
-        self.past.add(name, repeat_key, until, end == End::Delivered);
+        self.ended.forget(self.now);
+        self.ended.add(name, repeat_key, until, end == End::Delivered);
     }
 
     pub(super) fn drop_if_done(&mut self, id: MsgId) {
--- a/src/core/hand.rs
+++ b/src/core/hand.rs
@@ -1,15 +1,15 @@
 //! Endpoints that operators take out by hand and call back, and the count of those that are listed and avoided.
 use super::orders::Member;
 use super::Core;
-use crate::figures::{Ending, Figures};
 use crate::interface::{DestId, Entry, Event, Hint, HostId, Listed, Nanos, News};
 use crate::journal::{End, Record};
+use crate::metrics::{Ending, Metrics};
 use std::sync::Arc;
 
 /// Endpoints that are out by hand at once, and those remembered that are listed no more. Bounds what the journal keeps.
 const SUSPENDED_MOST: usize = 256;
 const RETIRED_MOST: usize = 1024;
-/// Endpoints that are avoided are counted so often, in seconds: the figures may be half a second old.
+/// Endpoints that are avoided are counted so often, in seconds: the metrics may be half a second old.
 const COUNT_EACH: f64 = 0.1;
 
 /// What came of an operator's word on an endpoint.
@@ -93,17 +93,17 @@
         self.retired.push_back(uid.to_string());
     }
 
-    /// The figures, which are kept up from now on.
-    pub fn shown(&mut self, now: Nanos) -> Arc<Figures> {
+    /// The metrics, which are kept up from now on.
+    pub fn shown(&mut self, now: Nanos) -> Arc<Metrics> {
         self.count_at = Some(now);
         self.wake = Some(now);
-        self.figures.clone()
+        self.metrics.clone()
     }
 
-    /// Keeps the figures up that tell how things stand, where somebody is shown them.
+    /// Keeps the metrics up that tell how things stand, where somebody is shown them.
     pub(super) fn count(&mut self) {
         let Some(at) = self.count_at else { return };
-        self.figures.set_open(self.open);
+        self.metrics.set_open(self.open);
         if self.now >= at {
             self.count_at = Some(self.now + COUNT_EACH);
             let listed = self.hosts.iter().filter(|(_, m)| m.state != Listed::Gone);
@@ -111,7 +111,7 @@
                 self.entry(**host, m).state != Listed::Running || self.balancer.avoids(**host)
             };
             let (all, out) = (listed.clone().count(), listed.filter(avoided).count());
-            self.figures.set_endpoints(all, out);
+            self.metrics.set_endpoints(all, out);
         }
     }
 }
--- a/src/core/held.rs
+++ b/src/core/held.rs
@@ -1,8 +1,8 @@
 //! One held message: its tries, what may have run, its end, and the records that the journal needs of it.
 use super::orders::Notice;
+use crate::deduplication::DeduplicationCache;
 use crate::interface::{DestId, HostId, Message, MsgId, Nanos};
 use crate::journal::{End, Journal, Record, Taken};
-use crate::past::Past;
 use crate::request::RequestContext;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -99,11 +99,12 @@
 
 /// All that the journal must say, in the fewest records.
 pub(super) fn records<'a>(
-    held: &'a BTreeMap<MsgId, Held>, past: &'a Past, suspended: &'a BTreeSet<String>, now: Nanos,
+    held: &'a BTreeMap<MsgId, Held>, ended: &'a DeduplicationCache, suspended: &'a BTreeSet<String>,
+    now: Nanos,
 ) -> impl Iterator<Item = Record> + 'a {
     let known = held.iter().filter(|(_, h)| h.logged);
     let out = suspended.iter().map(|uid| Record::Suspended { uid: uid.clone(), out: true });
-    out.chain(past.records()).chain(known.flat_map(move |(id, h)| h.records(*id, now)))
+    out.chain(ended.records()).chain(known.flat_map(move |(id, h)| h.records(*id, now)))
 }
 
 /// Bytes that the journal must keep for a message.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,11 +21,11 @@
 pub use hand::Hand;
 pub use orders::{Answer, Input, Member, Notice, Order, Sighting, Try};
 
-use crate::figures::Figures;
+use crate::deduplication::DeduplicationCache;
 use crate::interface::{Action, Event, HostId, MsgId, Nanos, Settings};
 use crate::journal::{End, Journal, Record};
 use crate::logic::Balancer;
-use crate::past::Past;
+use crate::metrics::Metrics;
 use crate::plugins::Plugins;
 use crate::settings::Site;
 use busy::Busy;
@@ -47,7 +47,7 @@
     /// Keys of those that are over and whose notice is not answered, and how many each has.
     unheard: HashMap<u64, usize>,
     names: HashMap<String, MsgId>,
-    past: Past,
+    ended: DeduplicationCache,
     /// Tries that go out at the end of this moment, unless their key is not free.
     held_back: BTreeSet<MsgId>,
     /// Tries that wait for an earlier message's notice, by its key; looked at when the key is free, not before.
@@ -77,9 +77,9 @@
     paused: bool,
     /// When the next line on a full journal may be logged.
     room_log: Nanos,
-    figures: Arc<Figures>,
+    metrics: Arc<Metrics>,
     elders: Elders,
-    /// When the endpoints are counted next; never where nobody is shown the figures.
+    /// When the endpoints are counted next; never where nobody is shown the metrics.
     count_at: Option<Nanos>,
 }
 
@@ -101,7 +101,7 @@
             open: 0,
             unheard: HashMap::new(),
             names: HashMap::new(),
-            past: Past::default(),
+            ended: DeduplicationCache::default(),
             held_back: BTreeSet::new(),
             parked: HashMap::new(),
             busy: Busy::default(),
@@ -122,7 +122,7 @@
             resting: false,
             paused: false,
             room_log: Nanos(0),
-            figures: Arc::new(Figures::new(&site.classes)),
+            metrics: Arc::new(Metrics::new(&site.classes)),
             elders: Elders::default(),
             count_at: None,
         };
@@ -212,8 +212,8 @@
     /// Where the journal could not be written, sees whether it can be again.
     fn retry_journal(&mut self) {
         let now = self.now;
-        let (held, past, out) = (&self.held, &self.past, &self.suspended);
-        if let Some(done) = self.ledger.retry(now, || records(held, past, out, now)) {
+        let (held, ended, out) = (&self.held, &self.ended, &self.suspended);
+        if let Some(done) = self.ledger.retry(now, || records(held, ended, out, now)) {
             self.orders.extend(done);
             if !self.ledger.stuck() {
                 self.paused = false;
@@ -235,8 +235,8 @@
 
     fn write_anew(&mut self) {
         let now = self.now;
-        self.past.forget(now);
-        self.ledger.rewrite(now, records(&self.held, &self.past, &self.suspended, now));
+        self.ended.forget(now);
+        self.ledger.rewrite(now, records(&self.held, &self.ended, &self.suspended, now));
     }
 
     fn carry_out(&mut self, action: Action) {
--- a/src/core/restart.rs
+++ b/src/core/restart.rs
@@ -56,7 +56,7 @@
             Record::Late { .. } | Record::Saw { .. } => {}
             Record::Suspended { uid, out } => self.suspend(uid, out),
             Record::Past { name, repeat_key, until, delivered } => {
-                self.past.add(name, repeat_key, Nanos(until), delivered)
+                self.ended.add(name, repeat_key, Nanos(until), delivered)
             }
         }
     }
@@ -71,7 +71,7 @@
             self.ran(id, true);
         }
         let now = self.now;
-        self.past.forget(now);
+        self.ended.forget(now);
         let all: Vec<MsgId> = self.held.keys().copied().collect();
         for id in all {
             let h = &self.held[&id];
--- a/src/core/tries.rs
+++ b/src/core/tries.rs
@@ -151,7 +151,7 @@
             return false;
         }
         out.stage = Stage::Sent;
-        self.figures.relayed(h.context.class);
+        self.metrics.relayed(h.context.class);
         log::debug!(message = h.context.name, "try" = attempt, dest = h.context.dest; "first byte");
         true
     }
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -13,9 +13,9 @@
 
 use crate::clock;
 use crate::core::{Answer, Core, Hand, Input, Member, Notice, Sighting};
-use crate::figures::Figures;
 use crate::handover::Late;
 use crate::journal::Record;
+use crate::metrics::Metrics;
 use crate::request::RequestContext;
 use crate::{DestId, HostId, MsgId, Nanos, Outcome, Report};
 use bytes::Bytes;
@@ -109,7 +109,7 @@
     }
 
     /// What operators are shown, kept from now on.
-    pub fn figures(&self) -> Arc<Figures> {
+    pub fn metrics(&self) -> Arc<Metrics> {
         open(&self.core).shown(clock::now())
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,19 +61,21 @@
 pub mod client;
 pub mod clock;
 pub mod core;
+pub mod deduplication;
 pub mod discovery;
 pub mod exchange;
 pub mod fault;
-pub mod figures;
+
 pub mod flags;
 pub mod fleet;
 pub mod handover;
 pub mod journal;
 pub mod logger;
+pub mod metrics;
 pub mod mgmt;
 pub mod neighbours;
 pub mod notices;
-pub mod past;
+
 pub mod plugins;
 pub mod reload;
 pub mod request;
--- a/src/logger/tests.rs
+++ b/src/logger/tests.rs
@@ -40,7 +40,7 @@
     for entry in std::fs::read_dir(here).expect("the sources").flatten() {
         let name = entry.file_name().to_string_lossy().trim_end_matches(".rs").to_string();
         let silent =
-            ["backoff", "bin", "clock", "figures", "hints", "interface", "lib", "main", "pile", "request"];
+            ["backoff", "bin", "clock", "metrics", "hints", "interface", "lib", "main", "pile", "request"];
         assert!(MODULES.contains(&name.as_str()) || silent.contains(&name.as_str()), "{name}");
     }
 }
--- a/src/figures.rs
+++ b/src/metrics.rs
@@ -26,14 +26,14 @@
 }
 
 /// All counts of a process.
-pub struct Figures {
+pub struct Metrics {
     classes: Vec<(String, Counts)>,
     open: AtomicU64,
     listed: AtomicU64,
     avoided: AtomicU64,
 }
 
-/// The figures as they are shown; names are the operators'.
+/// The metrics as they are shown; names are the operators'.
 #[derive(Serialize, Debug)]
 pub struct Shown {
     /// Messages that ended, and calls, by class.
@@ -46,7 +46,7 @@
     pub out_of_rotation: u64,
 }
 
-/// One class's figures.
+/// One class's metrics.
 #[derive(Serialize, Debug, PartialEq, Eq)]
 pub struct Row {
     /// Messages delivered.
@@ -59,11 +59,11 @@
     pub relayed: u64,
 }
 
-impl Figures {
+impl Metrics {
     /// Counts for these classes, by the settings' names, all at zero.
-    pub fn new(classes: &[String]) -> Figures {
+    pub fn new(classes: &[String]) -> Metrics {
         let classes = classes.iter().map(|c| (c.clone(), Counts::default())).collect();
-        Figures { classes, open: AtomicU64::new(0), listed: AtomicU64::new(0), avoided: AtomicU64::new(0) }
+        Metrics { classes, open: AtomicU64::new(0), listed: AtomicU64::new(0), avoided: AtomicU64::new(0) }
     }
 
     /// A message of this class has ended.
@@ -93,7 +93,7 @@
         self.avoided.store(avoided as u64, Relaxed);
     }
 
-    /// The figures of this moment.
+    /// The metrics of this moment.
     pub fn show(&self) -> Shown {
         let row = |c: &Counts| Row {
             fulfilled: c.fulfilled.load(Relaxed),
--- a/src/mgmt.rs
+++ b/src/mgmt.rs
@@ -3,7 +3,7 @@
 //! message. Absent from the configuration, there is no listener and no thread.
 use crate::core::Hand;
 use crate::exchange::Exchange;
-use crate::figures::Figures;
+use crate::metrics::Metrics;
 use axum::extract::{Path, State};
 use axum::http::header::CONTENT_TYPE;
 use axum::http::StatusCode;
@@ -38,14 +38,14 @@
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
 /// Whom calls for endpoints go to, and what is shown.
-type Serving = (Exchange, Arc<Figures>);
+type Serving = (Exchange, Arc<Metrics>);
 
 /// What the operators' address shows: nothing yet, until the process serves.
 #[derive(Clone)]
 pub struct Mgmt {
     serving: Arc<Mutex<Option<Serving>>>,
     /// What is shown before that.
-    none: Arc<Figures>,
+    none: Arc<Metrics>,
 }
 
 impl Mgmt {
@@ -55,7 +55,7 @@
     ///
     /// The address cannot be listened at, or no thread can be made.
     pub fn start(at: SocketAddr, classes: &[String]) -> io::Result<Mgmt> {
-        let mgmt = Mgmt { serving: Arc::default(), none: Arc::new(Figures::new(classes)) };
+        let mgmt = Mgmt { serving: Arc::default(), none: Arc::new(Metrics::new(classes)) };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         // Before the thread, so that who starts it hears of an address that is taken.
         let listener = std::net::TcpListener::bind(at)?;
@@ -70,7 +70,7 @@
 
     /// From now on this process takes clients, or it does so no longer.
     pub fn serves(&self, exchange: Option<Exchange>) {
-        let serving = exchange.map(|e| (e.clone(), e.figures()));
+        let serving = exchange.map(|e| (e.clone(), e.metrics()));
         *self.serving.lock().unwrap_or_else(PoisonError::into_inner) = serving;
     }
 
@@ -96,8 +96,8 @@
 }
 
 async fn metrics(State(mgmt): State<Mgmt>) -> Response {
-    let figures = mgmt.serving().map_or(mgmt.none.clone(), |s| s.1);
-    let text = miniserde::json::to_string(&figures.show());
+    let metrics = mgmt.serving().map_or(mgmt.none.clone(), |s| s.1);
+    let text = miniserde::json::to_string(&metrics.show());
     ([(CONTENT_TYPE, "application/json")], text).into_response()
 }
 
