Test a repeat window of 1 s, also across a restart; assert the times of a shutdown

Suspect 'the same id and key after a window of 1 s, at its edge and across a restart': ruled out, green at once. The times of a shutdown (grace, discarding, last answers, SIGKILL after 3.7 s) are asserted at compile time; the program is the same but for them.

--- a/src/client/connection.rs
+++ b/src/client/connection.rs
@@ -1,6 +1,7 @@
 //! Serves one client connection: reads whole requests within their bounds, has them answered, and closes in order.
 use super::limiter::{ConnectionLimiter, ConnectionPermit, ConnectionState, Phase};
-use super::socket::ClientSocket;
+use super::socket::{ClientSocket, DISCARD_TIMEOUT};
+use super::LAST_ANSWERS;
 use axum::body::Body;
 use axum::response::{IntoResponse, Response};
 use axum::Router;
@@ -37,6 +38,11 @@
 /// `LAST_ANSWERS`, so that the request still gets its answer.
 const CLOSING_GRACE: Duration = Duration::from_millis(100);
 
+const _: () = assert!(
+    CLOSING_GRACE.as_millis() + DISCARD_TIMEOUT.as_millis() < LAST_ANSWERS.as_millis(),
+    "what is on its way has its answer, and its connection its close, before the process stops waiting"
+);
+
 /// Serves one client connection until it ends, is closed or is evicted.
 pub(super) async fn serve(
     io: impl AsyncRead + AsyncWrite + Unpin, routes: Router, limits: Limits, permit: ConnectionPermit,
--- a/src/client/socket.rs
+++ b/src/client/socket.rs
@@ -14,7 +14,7 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long input is read and discarded after the write side was shut. A client that is there closes its side as soon as
 /// it has seen the end: one round trip.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
+pub(super) const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 /// How many bytes are discarded at most. Bounds the work for a client that goes on sending.
 const DISCARD_LIMIT: usize = 256 * 1024;
 const DISCARD_CHUNK: usize = 4 * 1024;
--- a/src/client/tests.rs
+++ b/src/client/tests.rs
@@ -79,7 +79,7 @@
     }
 
     /// The connection has ended for the client, and is held until the client has closed its side as well.
-    async fn is_closed_in_order(self) {
+    async fn expect_close_in_order(self) {
         assert_eq!(self.read_to_end().await, Ok(String::new()));
         assert!(!self.served.is_finished(), "closed over what the client has sent: that is a reset");
         self.client.shutdown(Shutdown::Both).expect("shut");
@@ -111,7 +111,7 @@
     scene.wait_for(Phase::Idle).await;
     scene.close.send_replace(true);
     scene.write(REQUEST);
-    scene.is_closed_in_order().await;
+    scene.expect_close_in_order().await;
 }
 
 #[tokio::test]
@@ -122,7 +122,7 @@
     scene.wait_for(Phase::Idle).await;
     scene.state.evict();
     scene.write(REQUEST);
-    scene.is_closed_in_order().await;
+    scene.expect_close_in_order().await;
 }
 
 /// A client that sends on without end does not hold up the close.
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,15 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
+/// A planned restart kills the process so long after SIGTERM at the soonest.
+const KILL_AFTER: Duration = Duration::from_millis(3700);
+
+const _: () = assert!(
+    exchange::GONE_BY.as_millis() + client::LAST_ANSWERS.as_millis() + client::FAREWELL.as_millis()
+        < KILL_AFTER.as_millis(),
+    "the process has ended by itself before it is killed"
+);
+
 fn main() -> ExitCode {
     let command = match flags::read(std::env::args_os()) {
         Ok(command) => command,
--- a/tests/sites.rs
+++ b/tests/sites.rs
@@ -6,7 +6,8 @@
 use stand::*;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 /// The names that a request needs from the settings.
 struct Site {
@@ -84,3 +85,76 @@
     let wrong = daemon.ask(&request(&site, "no-such-class", 1000, "wrong")).expect("an answer");
     assert_eq!(wrong.status(), 404);
 }
+
+/// The window in which the receivers of this variant drop a repeat, and a call that comes at its very end.
+const WINDOW: Duration = Duration::from_millis(1000);
+
+/// When each call with this message came, counted from the first.
+fn calls(endpoint: &Arc<Mutex<Vec<(String, Instant)>>>, id: &str) -> Vec<Duration> {
+    let all = endpoint.lock().expect("lock");
+    let times: Vec<Instant> = all.iter().filter(|c| c.0 == id).map(|c| c.1).collect();
+    times.iter().map(|t| *t - times[0]).collect()
+}
+
+/// An endpoint that reads each call whole and then breaks the connection, so that it may have run.
+fn resetting() -> (Server, Arc<Mutex<Vec<(String, Instant)>>>) {
+    let came: Arc<Mutex<Vec<(String, Instant)>>> = Arc::default();
+    let mine = came.clone();
+    let endpoint = Server::start(move |heard, _| {
+        mine.lock().expect("lock").push((heard.id().to_string(), Instant::now()));
+        Reply::Cut
+    });
+    (endpoint, came)
+}
+
+/// With a window of 1 s, a message that may have run is repeated inside it only, and has its end in time.
+#[test]
+fn what_may_have_run_is_repeated_inside_a_short_window_only() {
+    let site = site("quayside-alerts");
+    let (endpoint, came) = resetting();
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = discovery(known.clone());
+    let daemon = Setup { settings: Some(site.settings.clone()), ..setup(&disco, known) }.start();
+    let (class, deadline) = &site.classes[0];
+    assert_eq!(daemon.ask(&request(&site, class, *deadline, "m1")).map(|h| h.status()), Some(202));
+    disco.wait_text(r#""id":"m1""#);
+    let calls = calls(&came, "m1");
+    assert!(calls.len() > 1, "it is repeated: {calls:?}");
+    assert!(calls.iter().all(|c| *c < WINDOW), "{calls:?}");
+}
+
+/// The same across a restart: the window counts from the call before it.
+#[rstest]
+#[case::inside_a_long_one("8000000000", Duration::ZERO, true)]
+#[case::after_a_short_one("1000000000", WINDOW, false)]
+fn a_restart_does_not_lengthen_the_window(
+    #[case] window_ns: &str, #[case] down_for: Duration, #[case] again: bool,
+) {
+    let mut site = site("quayside-alerts");
+    site.settings =
+        site.settings.replace(r#""windowNs": 1000000000"#, &format!(r#""windowNs": {window_ns}"#));
+    site.settings = site.settings.replace(r#""deadlineNs": 1800000000"#, r#""deadlineNs": 9000000000"#);
+    site.classes[0].1 = 9000;
+    assert!(site.settings.contains(window_ns) && site.settings.contains("9000000000"));
+    let first = Arc::new(AtomicBool::new(true));
+    let is_first = first.clone();
+    let endpoint = Server::start(move |_, _| match is_first.swap(false, Ordering::Relaxed) {
+        true => Reply::Hold(String::new()),
+        false => say("200 OK", "", ""),
+    });
+    let known = list(1, &[(7, endpoint.addr)]);
+    let disco = discovery(known.clone());
+    let mut daemon = Setup { settings: Some(site.settings.clone()), ..setup(&disco, known) }.start();
+    let (class, deadline) = &site.classes[0];
+    assert_eq!(daemon.ask(&request(&site, class, *deadline, "m1")).map(|h| h.status()), Some(202));
+    endpoint.wait_id("m1");
+    daemon.kill();
+    std::thread::sleep(down_for);
+    daemon.start_again();
+    if again {
+        endpoint.wait("a repeat inside the window", |all| all.len() == 2);
+        return;
+    }
+    disco.wait_text(r#""id":"m1""#);
+    assert_eq!(endpoint.heard().len(), 1, "not repeated after the window");
+}
