--- a/src/discovery/timing.rs
+++ b/src/discovery/timing.rs
@@ -2,7 +2,7 @@
 //!
 //! Whatever discovery has to tell counts as told [`TOLD_AFTER`] after a watch fell silent, and so long after discovery
 //! had it and could be reached, whatever became of earlier calls. So from the moment in which an ask is owed, a pause, a
-//! few asks that stay silent, and one that is answered have to fit in: [`worst_case`].
+//! few asks that stay silent, and one that is answered have to fit in: `worst_case`.
 use std::time::Duration;
 
 /// What a watch has not brought counts as told so long after it fell silent, and what discovery has so long after it
