Say again of a connection that ends under a request; one wait for the word to close

The line is now written where the phase changes. `connection::AnswerContext` was called as the request context is; the wait for the close stood twice.

--- a/src/client/connection.rs
+++ b/src/client/connection.rs
@@ -49,7 +49,7 @@
     closing: watch::Receiver<bool>,
 ) {
     let state = permit.state().clone();
-    let context = RequestContext {
+    let context = AnswerContext {
         routes,
         limits,
         state: state.clone(),
@@ -91,17 +91,22 @@
 }
 
 /// Returns when connections are to be closed and this one expects no request that is on its way already.
-async fn may_close(mut closing: watch::Receiver<bool>, state: Arc<ConnectionState>) {
+async fn may_close(closing: watch::Receiver<bool>, state: Arc<ConnectionState>) {
+    told_to_close(closing).await;
+    let _ = timeout(CLOSING_GRACE, state.head_settled()).await;
+}
+
+/// Returns when connections are to be closed.
+async fn told_to_close(mut closing: watch::Receiver<bool>) {
     if closing.wait_for(|closing| *closing).await.is_err() {
         // Nobody is left to say so.
         std::future::pending::<()>().await;
     }
-    let _ = timeout(CLOSING_GRACE, state.head_settled()).await;
 }
 
 /// What a request of a connection is answered with.
 #[derive(Clone)]
-struct RequestContext {
+struct AnswerContext {
     routes: Router,
     limits: Limits,
     state: Arc<ConnectionState>,
@@ -109,8 +114,8 @@
     closing: watch::Receiver<bool>,
 }
 
-async fn answer(request: Request<Incoming>, context: RequestContext) -> Result<Response, Infallible> {
-    let RequestContext { routes, limits, state, limiter, closing } = context;
+async fn answer(request: Request<Incoming>, context: AnswerContext) -> Result<Response, Infallible> {
+    let AnswerContext { routes, limits, state, limiter, closing } = context;
     state.enter(Phase::InRequest);
     let chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let whole = if chunked && !state.head().has_transfer_encoding_alone() {
@@ -134,7 +139,7 @@
 /// Waits for a whole body. One that is too long is answered without being kept, one without end is not waited for, and
 /// while connections are being closed one that does not come soon is refused: it was never taken on.
 async fn read_whole(
-    request: Request<Incoming>, limits: Limits, mut closing: watch::Receiver<bool>,
+    request: Request<Incoming>, limits: Limits, closing: watch::Receiver<bool>,
 ) -> Result<(Request<Body>, usize), StatusCode> {
     let (head, body) = request.into_parts();
     if body.size_hint().lower() > limits.body_limit as u64 {
@@ -142,9 +147,7 @@
     }
     let body = Limited::new(body, limits.body_limit).collect();
     let closed = async {
-        if closing.wait_for(|closing| *closing).await.is_err() {
-            std::future::pending::<()>().await;
-        }
+        told_to_close(closing).await;
         tokio::time::sleep(CLOSING_GRACE).await;
     };
     let body = tokio::select! {
--- a/src/client/limiter.rs
+++ b/src/client/limiter.rs
@@ -16,6 +16,8 @@
 const EVICT_PARTIAL_HEAD_AFTER: Duration = Duration::from_millis(500);
 /// Share of the places from which on responses close their connections.
 const CROWDED_SHARE: f64 = 0.75;
+/// The client left, or this process broke its word: what is said of a connection that ends in the midst of a request.
+const ENDED_UNDER_REQUEST: &str = "ended under a request";
 /// How often a full limiter looks for a connection to evict.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -75,10 +77,14 @@
     /// Enters a phase. `Closing` is final.
     pub(super) fn enter(&self, next: Phase) {
         let mut phase = lock(&self.phase);
-        if phase.0 != Phase::Closing {
-            *phase = (next, Instant::now());
-            self.phase_changed.notify_one();
+        if phase.0 == Phase::Closing {
+            return;
         }
+        if (phase.0, next) == (Phase::InRequest, Phase::Closing) {
+            log::debug!("client connection: {ENDED_UNDER_REQUEST}");
+        }
+        *phase = (next, Instant::now());
+        self.phase_changed.notify_one();
     }
 
     /// Bytes have arrived from the client.
@@ -209,10 +215,7 @@
 
 impl Drop for ConnectionPermit {
     fn drop(&mut self) {
-        // The client left, or this process broke its word.
-        if self.state.phase() == Phase::InRequest {
-            log::debug!("client connection: ended under a request");
-        }
+        self.state.enter(Phase::Closing);
         lock(&self.limiter.open).by_id.remove(&self.id);
         self.limiter.released.notify_one();
     }
