--- a/tests/sites.rs
+++ b/tests/sites.rs
@@ -89,16 +89,19 @@
 /// The window in which the receivers of this variant drop a repeat, and a call that comes at its very end.
 const WINDOW: Duration = Duration::from_millis(1000);
 
+/// The ids of calls, and when they came.
+type Arrivals = Arc<Mutex<Vec<(String, Instant)>>>;
+
 /// When each call with this message came, counted from the first.
-fn calls(endpoint: &Arc<Mutex<Vec<(String, Instant)>>>, id: &str) -> Vec<Duration> {
+fn calls(endpoint: &Arrivals, id: &str) -> Vec<Duration> {
     let all = endpoint.lock().expect("lock");
     let times: Vec<Instant> = all.iter().filter(|c| c.0 == id).map(|c| c.1).collect();
     times.iter().map(|t| *t - times[0]).collect()
 }
 
 /// An endpoint that reads each call whole and then breaks the connection, so that it may have run.
-fn resetting() -> (Server, Arc<Mutex<Vec<(String, Instant)>>>) {
-    let came: Arc<Mutex<Vec<(String, Instant)>>> = Arc::default();
+fn resetting() -> (Server, Arrivals) {
+    let came: Arrivals = Arc::default();
     let mine = came.clone();
     let endpoint = Server::start(move |heard, _| {
         mine.lock().expect("lock").push((heard.id().to_string(), Instant::now()));
