--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -44,7 +44,7 @@
     }
 
     /// A random part of this time.
-    pub fn part_of(&mut self, time: Duration) -> Duration {
+    fn part_of(&mut self, time: Duration) -> Duration {
         time.mul_f64(self.random.random::<f64>())
     }
 
--- a/src/client/limiter.rs
+++ b/src/client/limiter.rs
@@ -16,8 +16,6 @@
 const EVICT_PARTIAL_HEAD_AFTER: Duration = Duration::from_millis(500);
 /// Share of the places from which on responses close their connections.
 const CROWDED_SHARE: f64 = 0.75;
-/// The client left, or this process broke its word: what is said of a connection that ends in the midst of a request.
-const ENDED_UNDER_REQUEST: &str = "ended under a request";
 /// How often a full limiter looks for a connection to evict.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -81,7 +79,8 @@
             return;
         }
         if (phase.0, next) == (Phase::InRequest, Phase::Closing) {
-            log::debug!("client connection: {ENDED_UNDER_REQUEST}");
+            // The client left, or this process broke its word.
+            log::debug!("client connection: ended under a request");
         }
         *phase = (next, Instant::now());
         self.phase_changed.notify_one();
