--- a/crates/lab/tests/takeover/model.rs
+++ b/crates/lab/tests/takeover/model.rs
@@ -1,7 +1,7 @@
 //! The model: two processes with one folder, their polls of the locks, what clients, partners and the disk do, kills and
 //! starts. The state machine is the shipped code (`takeover::state`); a paused process is one that takes no step for a
 //! while.
-use micaladder::takeover::state::{Action, Observed, State, StateMachine, DRAIN_TIMEOUT};
+use micaladder::takeover::state::{Action, Observed, State, StateMachine, DRAIN_TIMEOUT, REQUEST_LEASE};
 use micaladder::Nanos;
 use stateright::{Model, Property};
 
@@ -70,9 +70,31 @@
     violation: Option<&'static str>,
 }
 
+/// How much time has passed at a poll: any may pass between two steps.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Elapsed {
+    Nothing,
+    /// The drain has reached its timeout.
+    Drain,
+    /// A request that was not used has expired.
+    Lease,
+}
+
+impl Elapsed {
+    const ALL: [Elapsed; 3] = [Elapsed::Nothing, Elapsed::Drain, Elapsed::Lease];
+
+    fn now(self) -> Nanos {
+        match self {
+            Elapsed::Nothing => Nanos(0),
+            Elapsed::Drain => DRAIN_TIMEOUT,
+            Elapsed::Lease => DRAIN_TIMEOUT + REQUEST_LEASE,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Step {
-    Poll(usize, bool),
+    Poll(usize, Elapsed),
     Accept(usize, usize),
     Send(usize, usize),
     Finish(usize, usize, Outcome),
@@ -82,7 +104,7 @@
     ChangeDisk,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum InjectedFault {
     None,
     /// The owner's lock is released before `late` is locked.
@@ -95,6 +117,8 @@
     OrderingKeyForgotten,
     /// A journal that cannot be written is released.
     FullJournalReleased,
+    /// A process tries for a journal that another one asks for.
+    ReleasedJournalTakenBack,
     /// A process accepts messages after its release.
     AcceptsAfterRelease,
 }
@@ -166,21 +190,26 @@
         }
     }
 
-    pub fn poll(&mut self, fault: InjectedFault, p: usize, clients: bool) {
+    pub fn poll(&mut self, fault: InjectedFault, p: usize, elapsed: Elapsed) {
         let process = &self.processes[p];
+        let now = elapsed.now();
         let takeover_requested = self.next.is_some_and(|n| n != p);
+        let tries_owner_lock = process.takeover.may_acquire(now, takeover_requested)
+            || (fault == InjectedFault::ReleasedJournalTakenBack
+                && process.takeover.state == State::WaitingForLock);
         let journal_blocked = self.disk_full && fault != InjectedFault::FullJournalReleased;
         let observed = Observed {
-            lock_acquired: process.takeover.may_acquire(takeover_requested) && self.owner.is_none(),
+            lock_acquired: tries_owner_lock && self.owner.is_none(),
             takeover_requested,
-            clients_connected: clients,
+            clients_connected: elapsed == Elapsed::Nothing,
             calls_in_flight: process.has_calls_in_flight(),
             release_blocked: process.waits_for_predecessor() || journal_blocked,
         };
-        // Any time may pass between two steps: the drain may have reached its timeout already.
-        let now = if clients { Nanos(0) } else { DRAIN_TIMEOUT };
         let mut takeover = process.takeover;
         let action = takeover.step(now, observed);
+        if tries_owner_lock && action.is_none() {
+            takeover.lock_refused();
+        }
         match action {
             Some(Action::StartServing) => {
                 self.owner = Some(p);
@@ -205,13 +234,11 @@
             }
             Some(Action::Reset) => {
                 self.late = self.late.filter(|l| *l != p);
-                self.processes[p] = Process::started(false);
+                self.processes[p] = Process { takeover, ..Process::started(false) };
             }
             Some(Action::StopAccepting | Action::ResumeAccepting) | None => {}
         }
-        if action != Some(Action::Reset) {
-            self.processes[p].takeover = takeover;
-        }
+        self.processes[p].takeover = takeover;
         let me = &self.processes[p];
         if me.takeover.state == State::WaitingForLock && me.asks && self.next.is_none() {
             self.next = Some(p);
@@ -325,7 +352,7 @@
             }
             return;
         }
-        steps.extend([Step::Poll(p, true), Step::Poll(p, false)]);
+        steps.extend(Elapsed::ALL.map(|elapsed| Step::Poll(p, elapsed)));
         if world.kills < MAX_KILLS {
             steps.push(Step::Kill(p));
         }
@@ -385,7 +412,7 @@
     fn next_state(&self, last: &World, step: Step) -> Option<World> {
         let mut world = last.clone();
         match step {
-            Step::Poll(p, clients) => world.poll(self.0, p, clients),
+            Step::Poll(p, elapsed) => world.poll(self.0, p, elapsed),
             Step::Accept(p, m) => world.accept(p, m),
             Step::Send(p, m) => world.send(p, m),
             Step::Finish(p, m, outcome) => world.finish(p, m, outcome)?,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -55,6 +55,7 @@
 #[derive(Default)]
 struct Process {
     management: Option<ManagementServer>,
+    takeover: StateMachine,
     /// It has released the journal once: it takes it again only if no other process has it, and does not ask for it.
     has_released: bool,
 }
@@ -88,13 +89,14 @@
     start_management(&config, process)?;
     let Signals { mut terminate, hangup } = Signals::install()?;
     let folder = SharedFolder::open(&config.state_dir)?;
-    let mut takeover = StateMachine::new();
     let asks = process.management.is_some() && !process.has_released;
-    let owned = ownership::acquire(&config, &folder, &mut takeover, asks, &mut terminate).await?;
-    let Some(Ownership { lock, listener }) = owned else { return Ok(RunEnd::Terminated) };
+    let takeover = &mut process.takeover;
+    let owned = ownership::acquire(&config, &folder, takeover, asks, &mut terminate).await?;
+    let Some(Ownership { lock, request, listener }) = owned else { return Ok(RunEnd::Terminated) };
     let parts = startup::start(flags, &config, &folder, hangup).await?;
     let service = Service::start(config, parts, process.management.clone(), listener)?;
-    service.run(&folder, lock, &mut takeover, &mut terminate).await
+    drop(request);
+    service.run(&folder, lock, takeover, &mut terminate).await
 }
 
 /// Listens for operators before all that may take time: until this process serves, it answers that it is not ready.
--- a/src/daemon/serving.rs
+++ b/src/daemon/serving.rs
@@ -7,7 +7,7 @@
 use crate::fleet::gossip::FleetHandle;
 use crate::mgmt::ManagementServer;
 use crate::settings::Config;
-use crate::takeover::state::{Action, Observed, State, StateMachine, POLL_INTERVAL};
+use crate::takeover::state::{Action, Observed, StateMachine, POLL_INTERVAL};
 use crate::takeover::{FolderLock, LockName, SharedFolder};
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
@@ -103,7 +103,7 @@
             Ok(late_outcomes) => late_outcomes,
             Err(error) => {
                 log::error!("not handed over: {error}");
-                takeover.state = State::Draining { since: clock::now() };
+                takeover.release_failed(clock::now());
                 return false;
             }
         };
