--- a/crates/lab/tests/takeover/model.rs
+++ b/crates/lab/tests/takeover/model.rs
@@ -200,6 +200,7 @@
         let journal_blocked = self.disk_full && fault != InjectedFault::FullJournalReleased;
         let observed = Observed {
             lock_acquired: tries_owner_lock && self.owner.is_none(),
+            owned_by_other: self.owner.is_some_and(|owner| owner != p),
             takeover_requested,
             clients_connected: elapsed == Elapsed::Nothing,
             calls_in_flight: process.has_calls_in_flight(),
@@ -207,9 +208,6 @@
         };
         let mut takeover = process.takeover;
         let action = takeover.step(now, observed);
-        if tries_owner_lock && action.is_none() {
-            takeover.lock_refused();
-        }
         match action {
             Some(Action::StartServing) => {
                 self.owner = Some(p);
@@ -236,7 +234,7 @@
                 self.late = self.late.filter(|l| *l != p);
                 self.processes[p] = Process { takeover, ..Process::started(false) };
             }
-            Some(Action::StopAccepting | Action::ResumeAccepting) | None => {}
+            Some(Action::Drain | Action::Resume) | None => {}
         }
         self.processes[p].takeover = takeover;
         let me = &self.processes[p];
--- a/src/client/connection.rs
+++ b/src/client/connection.rs
@@ -2,7 +2,8 @@
 //! losing a response.
 use super::limiter::{ConnectionLimiter, ConnectionPermit, ConnectionState, Phase};
 use super::socket::{ClientSocket, DISCARD_TIMEOUT};
-use super::FINAL_RESPONSES;
+use super::{reached, FINAL_RESPONSES};
+use crate::exchange::ClientConnections;
 use axum::body::Body;
 use axum::response::{IntoResponse, Response};
 use axum::Router;
@@ -37,7 +38,7 @@
 const HEAD_BYTES_LIMIT: usize = 16 * 1024;
 /// The most header lines of a request.
 const HEADER_LINES_LIMIT: usize = 64;
-/// Once connections are being closed: how long one waits for the rest of a request that is arriving. Shorter than
+/// Once the process ends: how long one waits for the rest of a request that is arriving. Shorter than
 /// `FINAL_RESPONSES`, so that the request still gets its response.
 const CLOSING_GRACE: Duration = Duration::from_millis(100);
 
@@ -49,7 +50,7 @@
 /// Serves one client connection until it ends, is closed or is evicted.
 pub(super) async fn serve(
     io: impl AsyncRead + AsyncWrite + Unpin, routes: Router, limits: Limits, permit: ConnectionPermit,
-    closing: watch::Receiver<bool>,
+    connections: watch::Receiver<ClientConnections>,
 ) {
     let state = permit.state().clone();
     let handler = RequestHandler {
@@ -57,7 +58,7 @@
         limits,
         state: state.clone(),
         limiter: permit.limiter().clone(),
-        closing: closing.clone(),
+        connections: connections.clone(),
     };
     let service = service_fn(|request| handler.clone().handle(request));
     let io = TokioIo::new(ClientSocket::new(io, state.clone()));
@@ -67,7 +68,7 @@
         .max_buf_size(HEAD_BYTES_LIMIT)
         .max_headers(HEADER_LINES_LIMIT)
         .serve_connection(io, service);
-    let mut may_close = pin!(may_close(closing, state.clone()));
+    let mut may_close = pin!(may_close(connections, state.clone()));
     let mut shutting_down = false;
     loop {
         tokio::select! {
@@ -94,19 +95,19 @@
     }
 }
 
-/// Returns when connections are being closed and no request is arriving on this one.
-async fn may_close(closing: watch::Receiver<bool>, state: Arc<ConnectionState>) {
-    connections_closing(closing).await;
-    // A head that does not arrive in time is given up, so the result does not matter.
-    let _ = timeout(CLOSING_GRACE, state.head_settled()).await;
+/// Returns when connections are being closed and no request is arriving on this one, or one that is arriving is given up.
+async fn may_close(mut connections: watch::Receiver<ClientConnections>, state: Arc<ConnectionState>) {
+    reached(&mut connections, ClientConnections::Draining).await;
+    tokio::select! {
+        () = state.head_settled() => {}
+        () = given_up(connections) => {}
+    }
 }
 
-/// Returns when connections are being closed.
-async fn connections_closing(mut closing: watch::Receiver<bool>) {
-    if closing.wait_for(|closing| *closing).await.is_err() {
-        // The sender is gone, so connections are never closed.
-        std::future::pending::<()>().await;
-    }
+/// Returns when the process ends so soon that a request that is still arriving is given up.
+async fn given_up(mut connections: watch::Receiver<ClientConnections>) {
+    reached(&mut connections, ClientConnections::Closing).await;
+    tokio::time::sleep(CLOSING_GRACE).await;
 }
 
 /// Handles the requests of one connection.
@@ -116,7 +117,7 @@
     limits: Limits,
     state: Arc<ConnectionState>,
     limiter: Arc<ConnectionLimiter>,
-    closing: watch::Receiver<bool>,
+    connections: watch::Receiver<ClientConnections>,
 }
 
 impl RequestHandler {
@@ -126,7 +127,7 @@
         let complete = if chunked && !self.state.head().has_transfer_encoding_alone() {
             Err(StatusCode::BAD_REQUEST)
         } else {
-            read_complete(request, self.limits, self.closing).await
+            read_complete(request, self.limits, self.connections).await
         };
         let (mut response, body_size) = match complete {
             Ok((request, size)) => {
@@ -147,24 +148,20 @@
 }
 
 /// Reads a request's body; returns the complete request and the body's size. A body that is too long is not stored, one
-/// that does not arrive in time is given up, and while connections are being closed it is given up soon: the request
-/// was not accepted.
+/// that does not arrive in time is given up, and while the process ends it is given up soon: the request was not
+/// accepted.
 async fn read_complete(
-    request: Request<Incoming>, limits: Limits, closing: watch::Receiver<bool>,
+    request: Request<Incoming>, limits: Limits, connections: watch::Receiver<ClientConnections>,
 ) -> Result<(Request<Body>, usize), StatusCode> {
     let (head, body) = request.into_parts();
     if body.size_hint().lower() > limits.body_limit as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
     let body = Limited::new(body, limits.body_limit).collect();
-    let closed = async {
-        connections_closing(closing).await;
-        tokio::time::sleep(CLOSING_GRACE).await;
-    };
     let body = tokio::select! {
         biased;
         body = timeout(limits.body_timeout, body) => body.map_err(|_| StatusCode::REQUEST_TIMEOUT)?,
-        () = closed => return Err(StatusCode::SERVICE_UNAVAILABLE),
+        () = given_up(connections) => return Err(StatusCode::SERVICE_UNAVAILABLE),
     };
     let body = body.map_err(|error| match error.is::<LengthLimitError>() {
         true => StatusCode::PAYLOAD_TOO_LARGE,
--- a/src/client/limiter.rs
+++ b/src/client/limiter.rs
@@ -23,6 +23,8 @@
 /// What a client connection is doing. The order is that in which connections are evicted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Phase {
+    /// Its permit is there, and the connection is still to be accepted.
+    Reserved,
     /// Between two requests.
     Idle,
     /// No byte has arrived yet.
@@ -42,7 +44,7 @@
             Phase::Idle => Some(EVICT_IDLE_AFTER),
             Phase::Connected => Some(EVICT_SILENT_AFTER),
             Phase::ReadingHead => Some(EVICT_PARTIAL_HEAD_AFTER),
-            Phase::InRequest | Phase::Closing => None,
+            Phase::Reserved | Phase::InRequest | Phase::Closing => None,
         }
     }
 }
@@ -189,6 +191,11 @@
         lock(&self.open).by_id.len() as f64 > self.limit as f64 * CROWDED_SHARE
     }
 
+    /// Whether client connections are open.
+    pub fn has_connections(&self) -> bool {
+        lock(&self.open).by_id.values().any(|state| state.phase() != Phase::Reserved)
+    }
+
     /// Returns when no client connection is open.
     pub async fn all_closed(&self) {
         while !lock(&self.open).by_id.is_empty() {
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -1,6 +1,6 @@
 //! Client connections: accepted, limited, served and closed, over all listeners.
 //!
-//! `limiter` bounds their number, `connection` serves one, `socket` closes it without losing a response, `head` scans
+//! `listener` opens the listeners, `limiter` bounds the number of connections, `connection` serves one, `socket` closes it without losing a response, `head` scans
 //! what hyper does not show. [`platform`] and [`as2`] are the protocols, `error` has the responses to invalid requests.
 #![warn(missing_docs)]
 pub mod as2;
@@ -8,6 +8,7 @@
 mod error;
 mod head;
 mod limiter;
+mod listener;
 pub mod platform;
 mod socket;
 #[cfg(test)]
@@ -16,13 +17,15 @@
 pub use connection::Limits;
 pub use error::ClientError;
 pub use limiter::{ConnectionLimiter, ConnectionPermit};
+pub use listener::{listen, SharedListener};
 
+use crate::exchange::ClientConnections;
 use axum::Router;
+use limiter::Phase;
 use std::io::{self, ErrorKind};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::timeout;
 use tokio_rustls::rustls::crypto::ring::default_provider;
@@ -35,29 +38,11 @@
 /// How long the process outlives its last client connection. Guards the last responses: one that is still in the
 /// socket's buffer when the process ends may be lost, and the client would count an accepted request as not received.
 pub const CLOSE_LINGER: Duration = Duration::from_millis(100);
-/// Connections that the kernel queues before they are accepted; the standard library's value.
-const BACKLOG: u32 = 1024;
 /// How long a TLS handshake may take.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed `accept` for lack of descriptors or memory.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Listens for clients. If `shared`, another process of this user may listen at the same address (`SO_REUSEPORT`), as
-/// it does during a takeover; the kernel assigns each new connection to one of them.
-///
-/// # Errors
-///
-/// The address is in use or is not an address of this machine.
-pub fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    if shared {
-        socket.set_reuseport(true)?;
-    }
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// One front: a listener with its routes and limits.
 pub struct Front {
     /// Where its clients connect.
@@ -83,12 +68,14 @@
     Ok(Arc::new(config).into())
 }
 
-/// Serves a front until `closing` becomes true. Then every request that has arrived still gets its response; returns
-/// when no client connection of the process is left.
-pub async fn serve(front: Front, limiter: Arc<ConnectionLimiter>, closing: watch::Receiver<bool>) {
+/// Serves a front until no more connections are to be accepted. Then every request that has arrived still gets its
+/// response; returns when no client connection of the process is left.
+pub async fn serve(
+    front: Front, limiter: Arc<ConnectionLimiter>, connections: watch::Receiver<ClientConnections>,
+) {
     let Front { listener, routes, limits, tls } = front;
-    let acceptor = Acceptor { routes, limits, tls, closing };
-    acceptor.accept_until_closing(&listener, &limiter).await;
+    let acceptor = Acceptor { routes, limits, tls, connections };
+    acceptor.accept_while_wanted(&listener, &limiter).await;
     acceptor.accept_queued(listener, &limiter).await;
     limiter.all_closed().await;
 }
@@ -99,20 +86,21 @@
     routes: Router,
     limits: Limits,
     tls: Option<TlsAcceptor>,
-    closing: watch::Receiver<bool>,
+    connections: watch::Receiver<ClientConnections>,
 }
 
 impl Acceptor {
-    async fn accept_until_closing(&self, listener: &TcpListener, limiter: &Arc<ConnectionLimiter>) {
-        let mut closing = self.closing.clone();
+    async fn accept_while_wanted(&self, listener: &TcpListener, limiter: &Arc<ConnectionLimiter>) {
+        let mut connections = self.connections.clone();
         loop {
             let permit = tokio::select! {
                 permit = limiter.acquire() => permit,
-                _ = closing.wait_for(|closing| *closing) => return,
+                () = reached(&mut connections, ClientConnections::NotAccepted) => return,
             };
+            permit.state().enter(Phase::Reserved);
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = closing.wait_for(|closing| *closing) => return,
+                () = reached(&mut connections, ClientConnections::NotAccepted) => return,
             };
             match accepted {
                 Ok((socket, _)) => self.spawn(socket, permit),
@@ -143,25 +131,34 @@
 
     /// Each connection has a task of its own from its handshake on, so that a slow one delays no other.
     fn spawn(&self, socket: TcpStream, permit: ConnectionPermit) {
+        permit.state().enter(Phase::Connected);
         tokio::spawn(self.clone().serve_connection(socket, permit));
     }
 
     async fn serve_connection(self, socket: TcpStream, permit: ConnectionPermit) {
-        let Acceptor { routes, limits, tls, closing } = self;
+        let Acceptor { routes, limits, tls, connections } = self;
         if let Err(error) = socket.set_nodelay(true) {
             log::debug!("client connection: {error}");
         }
         let Some(tls) = tls else {
-            return connection::serve(socket, routes, limits, permit, closing).await;
+            return connection::serve(socket, routes, limits, permit, connections).await;
         };
         match timeout(HANDSHAKE_TIMEOUT, tls.accept(socket)).await {
-            Ok(Ok(stream)) => connection::serve(stream, routes, limits, permit, closing).await,
+            Ok(Ok(stream)) => connection::serve(stream, routes, limits, permit, connections).await,
             Ok(Err(error)) => log::warn!("client connection: TLS handshake failed: {error}"),
             Err(_) => log::warn!("client connection: TLS handshake timed out"),
         }
     }
 }
 
+/// Returns once client connections are closed so far, or further.
+async fn reached(connections: &mut watch::Receiver<ClientConnections>, how_far: ClientConnections) {
+    if connections.wait_for(|now| *now >= how_far).await.is_err() {
+        // The sender is gone, so nothing changes any more.
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Whether an error of `accept` concerns one connection only, so that the next may be accepted at once.
 fn concerns_one_connection(error: &io::Error) -> bool {
     matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::ConnectionReset | ErrorKind::Interrupted)
--- a/src/client/platform.rs
+++ b/src/client/platform.rs
@@ -44,6 +44,11 @@
         .with_state(Arc::new(PlatformFront { deployment, exchange }))
 }
 
+/// Routes that reject every request, which may come again after this time.
+pub fn rejecting_routes(retry_after: Option<Nanos>) -> Router {
+    Router::new().fallback(move || async move { rejection(retry_after) })
+}
+
 async fn submit(
     State(front): State<Arc<PlatformFront>>, Path(class_in_path): Path<String>, headers: HeaderMap,
     body: Bytes,
--- a/src/client/tests.rs
+++ b/src/client/tests.rs
@@ -2,6 +2,7 @@
 //! everything between two awaits of a test happens before the connection's task runs again.
 use super::connection::{self, Limits};
 use super::limiter::{ConnectionLimiter, ConnectionState, Phase};
+use crate::exchange::ClientConnections;
 use axum::routing::post;
 use axum::Router;
 use std::io::{ErrorKind, Read, Write};
@@ -24,13 +25,13 @@
 /// A served connection and its client.
 struct Fixture {
     client: TcpStream,
-    close: watch::Sender<bool>,
+    close: watch::Sender<ClientConnections>,
     state: Arc<ConnectionState>,
     routed: Arc<AtomicUsize>,
     served: JoinHandle<()>,
 }
 
-async fn fixture(closing: bool) -> Fixture {
+async fn fixture(connections: ClientConnections) -> Fixture {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let client = TcpStream::connect(listener.local_addr().expect("its address")).expect("it listens");
     client.set_read_timeout(Some(Duration::from_secs(15))).expect("a time-out");
@@ -44,7 +45,7 @@
     let routes = Router::new().route("/echo", post(echo));
     let permit = ConnectionLimiter::new(10).acquire().await;
     let state = permit.state().clone();
-    let (close, closing) = watch::channel(closing);
+    let (close, closing) = watch::channel(connections);
     let served = tokio::spawn(connection::serve(socket, routes, LIMITS, permit, closing));
     Fixture { client, close, state, routed, served }
 }
@@ -109,18 +110,18 @@
 /// Regression test: an idle connection was closed with unread bytes, which resets it.
 #[tokio::test]
 async fn a_request_that_crosses_the_close_gets_an_end_of_stream_and_no_reset() {
-    let fixture = fixture(false).await;
+    let fixture = fixture(ClientConnections::Open).await;
     fixture.write(REQUEST);
     fixture.read_response().await;
     fixture.wait_for(Phase::Idle).await;
-    fixture.close.send_replace(true);
+    fixture.close.send_replace(ClientConnections::Closing);
     fixture.write(REQUEST);
     fixture.expect_graceful_close().await;
 }
 
 #[tokio::test]
 async fn a_request_that_crosses_an_eviction_gets_an_end_of_stream_and_no_reset() {
-    let fixture = fixture(false).await;
+    let fixture = fixture(ClientConnections::Open).await;
     fixture.write(REQUEST);
     fixture.read_response().await;
     fixture.wait_for(Phase::Idle).await;
@@ -132,7 +133,7 @@
 /// A client that never closes its side does not delay the close.
 #[tokio::test]
 async fn input_is_discarded_for_a_short_time_only() {
-    let fixture = fixture(false).await;
+    let fixture = fixture(ClientConnections::Open).await;
     fixture.state.evict();
     timeout(Duration::from_secs(2), fixture.served).await.expect("closed in time").expect("it ended");
 }
@@ -140,13 +141,13 @@
 /// Regression test: hyper closes a connection that it takes for idle, although part of the next head has arrived.
 #[tokio::test]
 async fn a_request_whose_head_arrives_in_pieces_across_the_close_is_answered() {
-    let fixture = fixture(false).await;
+    let fixture = fixture(ClientConnections::Open).await;
     fixture.write(REQUEST);
     fixture.read_response().await;
     fixture.wait_for(Phase::Idle).await;
     fixture.write(&REQUEST[..12]);
     fixture.wait_for(Phase::ReadingHead).await;
-    fixture.close.send_replace(true);
+    fixture.close.send_replace(ClientConnections::Closing);
     yield_now().await;
     yield_now().await;
     fixture.write(&REQUEST[12..]);
@@ -158,7 +159,7 @@
 /// Regression test: a connection that was accepted while connections are closing was closed before its request arrived.
 #[tokio::test]
 async fn a_new_connection_has_its_request_answered_while_connections_are_closing() {
-    let fixture = fixture(true).await;
+    let fixture = fixture(ClientConnections::Closing).await;
     yield_now().await;
     yield_now().await;
     fixture.write(REQUEST);
@@ -170,10 +171,10 @@
 /// it was waited for until the process ended.
 #[tokio::test]
 async fn a_request_without_its_body_is_rejected_in_time_while_connections_are_closing() {
-    let fixture = fixture(false).await;
+    let fixture = fixture(ClientConnections::Open).await;
     fixture.write(&REQUEST[..REQUEST.len() - 2]);
     fixture.wait_for(Phase::InRequest).await;
-    fixture.close.send_replace(true);
+    fixture.close.send_replace(ClientConnections::Closing);
     let closed = timeout(super::FINAL_RESPONSES, fixture.read_to_end()).await;
     let answer = closed.expect("before the process ends").expect("an end");
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -3,7 +3,7 @@
 use super::pending::journal_bytes;
 use super::Core;
 use crate::deduplication::PriorResult;
-use crate::interface::{Action, Event, MessageId, Nanos};
+use crate::interface::{Action, Event, MessageId, Nanos, Settings};
 use crate::journal::{self, Completion, Record};
 use crate::metrics::MessageResult;
 use crate::plugins::Verdict;
@@ -16,6 +16,11 @@
 /// way may pass at any time.
 const RETRY_AFTER_S: f64 = 1.0;
 
+/// When a client may come again whose request is rejected without the module; none where the settings name no wait.
+pub fn rejection_retry_after(settings: &Settings) -> Option<Nanos> {
+    settings.retry_after.map(|longest| Nanos::from_secs(RETRY_AFTER_S).min(longest))
+}
+
 impl Core {
     /// Answers a request at once, or gives it to the module and returns its id.
     pub(super) fn submitted(&mut self, id: MessageId, mut context: RequestContext) -> Option<MessageId> {
@@ -94,7 +99,7 @@
 
     /// When a client whose request is rejected here may come again; none where the settings name no wait.
     pub fn rejection_retry_after(&self) -> Option<Nanos> {
-        self.settings.retry_after.map(|longest| Nanos::from_secs(RETRY_AFTER_S).min(longest))
+        rejection_retry_after(&self.settings)
     }
 
     /// What scripts are shown of a request beside its context.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,6 +21,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use admission::rejection_retry_after;
 pub use messages::{Answer, Attempt, Callback, Endpoint, EndpointObservation, Input, Output};
 pub use suspensions::SuspensionResult;
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,11 +1,15 @@
 //! The daemon: wires the parts together, and sees them through start, takeover and shutdown.
 //!
 //! `ownership` waits for the journal, `startup` builds the parts round it, `serving` runs them until the process is to end
-//! or another one takes over.
+//! or another one takes over, and `released` sees the process through the time after that. `listener` and `standby` are the
+//! clients' address across these times.
 #![warn(missing_docs)]
 mod error;
+mod listener;
 mod ownership;
+mod released;
 mod serving;
+mod standby;
 mod startup;
 
 pub use error::DaemonError;
@@ -16,7 +20,8 @@
 use crate::mgmt::ManagementServer;
 use crate::settings::Config;
 use crate::takeover::state::StateMachine;
-use crate::takeover::SharedFolder;
+use crate::takeover::{FolderLock, SharedFolder};
+use listener::ClientListener;
 use ownership::Ownership;
 use serving::Service;
 use std::time::Duration;
@@ -25,6 +30,9 @@
 /// The soonest that a planned restart kills the process after SIGTERM.
 const KILL_AFTER: Duration = Duration::from_millis(3700);
 
+/// Share of the process's sockets that client connections may take, as a divisor: the rest is for endpoints and files.
+const CLIENT_SOCKETS_DIVISOR: usize = 3;
+
 const _: () = assert!(
     exchange::SHUTDOWN_TIMEOUT.as_millis()
         + client::FINAL_RESPONSES.as_millis()
@@ -56,6 +64,9 @@
 struct Process {
     management: Option<ManagementServer>,
     takeover: StateMachine,
+    listener: ClientListener,
+    /// Held while this process goes on to listen behind its successor.
+    standby_lock: Option<FolderLock>,
     /// It has released the journal once: it takes it again only if no other process has it, and does not ask for it.
     has_released: bool,
 }
@@ -89,14 +100,12 @@
     start_management(&config, process)?;
     let Signals { mut terminate, hangup } = Signals::install()?;
     let folder = SharedFolder::open(&config.state_dir)?;
-    let asks = process.management.is_some() && !process.has_released;
-    let takeover = &mut process.takeover;
-    let owned = ownership::acquire(&config, &folder, takeover, asks, &mut terminate).await?;
+    let owned = ownership::acquire(&config, &folder, process, &mut terminate).await?;
     let Some(Ownership { lock, request, listener }) = owned else { return Ok(RunEnd::Terminated) };
     let parts = startup::start(flags, &config, &folder, hangup).await?;
-    let service = Service::start(config, parts, process.management.clone(), listener)?;
+    let service = Service::start(&config, parts, process.management.clone(), listener);
     drop(request);
-    service.run(&folder, lock, takeover, &mut terminate).await
+    service.run(process, &folder, lock, &mut terminate).await
 }
 
 /// Listens for operators before all that may take time: until this process serves, it answers that it is not ready.
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -1,16 +1,14 @@
 //! The wait for the journal: until no other process owns it.
-use super::DaemonError;
-use crate::client;
+use super::standby::Standby;
+use super::{ClientListener, DaemonError, Process};
 use crate::clock;
 use crate::settings::Config;
-use crate::takeover::state::{
-    Action, Observed, StateMachine, POLL_INTERVAL, REQUEST_LEASE, SERVING_POLL_INTERVAL,
-    SUCCESSOR_POLL_INTERVAL,
-};
-use crate::takeover::{FolderLock, LockName, SharedFolder};
+use crate::takeover::state::{Observed, POLL_INTERVAL, REQUEST_LEASE, SERVING_POLL_INTERVAL};
+use crate::takeover::{FolderLock, LockName, SharedFolder, TakeoverError};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
+use tokio::sync::oneshot;
 
 /// How long an expired request is withdrawn: the process that serves polls meanwhile, and sees that it is.
 const WITHDRAWAL_TIME: Duration = SERVING_POLL_INTERVAL.saturating_mul(2);
@@ -22,63 +20,138 @@
     /// The request for the folder, to be held until this process serves: the predecessor takes the journal back from a
     /// successor that neither owns it nor asks for it.
     pub(super) request: Option<FolderLock>,
-    /// The clients' listener, where it was opened before.
-    pub(super) listener: Option<TcpListener>,
+    /// The clients' listener.
+    pub(super) listener: TcpListener,
 }
 
-/// Waits for the owner's lock; `None` where the process is told to end before that. A process that `asks` requests the
-/// folder, and has the clients' listener open by then.
+/// A request for the folder.
+struct Request {
+    /// Held until this process serves; none while an expired request is withdrawn.
+    lock: Option<FolderLock>,
+    /// The owner's lock, once it is free. Waited for in a thread of its own and not polled: until this process listens,
+    /// clients are rejected.
+    owner_lock: oneshot::Receiver<Result<FolderLock, TakeoverError>>,
+}
+
+impl Request {
+    /// Asks for the folder; `None` while another process does.
+    fn make(folder: &SharedFolder) -> Result<Option<Request>, DaemonError> {
+        let Some(lock) = folder.try_lock(LockName::Next)? else { return Ok(None) };
+        let (sender, owner_lock) = oneshot::channel();
+        let folder = folder.clone();
+        let wait = move || {
+            // A process that ends meanwhile has no use for it.
+            let _ = sender.send(folder.lock(LockName::Owner));
+        };
+        std::thread::Builder::new().name("takeover".to_string()).spawn(wait).map_err(DaemonError::System)?;
+        Ok(Some(Request { lock: Some(lock), owner_lock }))
+    }
+
+    /// Withdraws the request for so long that the process that serves sees it, and asks anew.
+    async fn renew(&mut self, folder: &SharedFolder) -> Result<(), DaemonError> {
+        log::warn!("this process was stopped, and its request for the folder may have expired: asking again");
+        self.lock = None;
+        tokio::time::sleep(WITHDRAWAL_TIME).await;
+        self.lock = folder.try_lock(LockName::Next)?;
+        Ok(())
+    }
+}
+
+/// Waits for the owner's lock; `None` where the process is told to end before that.
 pub(super) async fn acquire(
-    config: &Config, folder: &SharedFolder, takeover: &mut StateMachine, asks: bool, terminate: &mut Signal,
+    config: &Config, folder: &SharedFolder, process: &mut Process, terminate: &mut Signal,
 ) -> Result<Option<Ownership>, DaemonError> {
+    if let Some(lock) = poll_owner_lock(folder, process)? {
+        return owned(config, process, lock, None).map(Some);
+    }
+    let asks = process.management.is_some() && !process.has_released;
+    log::info!(asks; "another process owns the folder; waiting for it");
+    let mut standby = start_standby(config, &process.listener)?;
     let mut request = None;
-    let mut listener = None;
-    let mut is_logged = false;
     loop {
         let polled_at = clock::now();
-        if let Some(lock) = try_owner_lock(folder, takeover, request.is_some())? {
-            return Ok(Some(Ownership { lock, request, listener }));
-        }
-        if !is_logged {
-            log::info!(asks; "another process owns the folder; waiting for it");
-            is_logged = true;
-        }
         if asks && request.is_none() {
-            // The listener first: as soon as this process asks, the kernel gives it some of the new connections.
-            if listener.is_none() {
-                listener = Some(client::listen(config.listen, true).map_err(DaemonError::ClientAddress)?);
-            }
-            request = folder.try_lock(LockName::Next)?;
+            request = Request::make(folder)?;
         }
-        let poll_interval = if request.is_some() { SUCCESSOR_POLL_INTERVAL } else { POLL_INTERVAL };
         tokio::select! {
-            _ = terminate.recv() => return Ok(None),
-            () = tokio::time::sleep(poll_interval) => {}
+            _ = terminate.recv() => {
+                process.listener.close();
+                if let Some(standby) = standby {
+                    standby.close().await;
+                }
+                return Ok(None);
+            }
+            lock = owner_lock(&mut request) => {
+                let request_lock = request.and_then(|request| request.lock);
+                process.takeover.step(clock::now(), Observed { lock_acquired: true, ..Observed::default() });
+                return owned(config, process, lock?, request_lock).map(Some);
+            }
+            () = tokio::time::sleep(POLL_INTERVAL) => {}
         }
-        if request.is_some() && clock::now() - polled_at >= REQUEST_LEASE {
-            log::warn!(
-                "this process was stopped, and its request for the folder may have expired: asking again"
-            );
-            request = None;
-            tokio::time::sleep(WITHDRAWAL_TIME).await;
+        match &mut request {
+            Some(request) if clock::now() - polled_at >= REQUEST_LEASE => request.renew(folder).await?,
+            Some(_) => {}
+            None => {
+                if let Some(lock) = poll_owner_lock(folder, process)? {
+                    return owned(config, process, lock, None).map(Some);
+                }
+            }
+        }
+        if standby.is_some() && process.takeover.is_superseded(observe(folder)) {
+            log::info!("a further process asks for the folder: no longer on standby");
+            standby = None;
+            process.listener.close();
+            process.standby_lock = None;
         }
     }
 }
 
-/// The owner's lock, if it is free and this process may have it.
-fn try_owner_lock(
-    folder: &SharedFolder, takeover: &mut StateMachine, asks_itself: bool,
-) -> Result<Option<FolderLock>, DaemonError> {
-    let takeover_requested = !asks_itself && folder.is_locked(LockName::Next);
-    if !takeover.may_acquire(clock::now(), takeover_requested) {
+/// The owner's lock of a request; never without one.
+async fn owner_lock(request: &mut Option<Request>) -> Result<FolderLock, DaemonError> {
+    let Some(request) = request else { return std::future::pending().await };
+    match (&mut request.owner_lock).await {
+        Ok(lock) => Ok(lock?),
+        // The thread that waits for it sends it before it ends.
+        Err(_) => std::future::pending().await,
+    }
+}
+
+/// The journal is this process's: begins to listen. Not sooner, for whatever is in the queue of a listener is lost with its
+/// process, and until now the predecessor answers clients.
+fn owned(
+    config: &Config, process: &mut Process, lock: FolderLock, request: Option<FolderLock>,
+) -> Result<Ownership, DaemonError> {
+    process.standby_lock = None;
+    let listener = process.listener.open(config)?;
+    log::debug!("owner of the folder; reading the journal");
+    Ok(Ownership { lock, request, listener })
+}
+
+fn start_standby(config: &Config, listener: &ClientListener) -> Result<Option<Standby>, DaemonError> {
+    listener.shared().map(|listener| Standby::start(config, listener)).transpose()
+}
+
+fn observe(folder: &SharedFolder) -> Observed {
+    let takeover_requested = folder.is_locked(LockName::Next);
+    // Without a request the lock is tried, which tells as much.
+    let owned_by_other = takeover_requested && folder.is_locked(LockName::Owner);
+    Observed { takeover_requested, owned_by_other, ..Observed::default() }
+}
+
+/// The owner's lock, if it is free and this process, which does not ask for it, may have it.
+fn poll_owner_lock(folder: &SharedFolder, process: &mut Process) -> Result<Option<FolderLock>, DaemonError> {
+    let (now, observed) = (clock::now(), observe(folder));
+    if !process.takeover.may_acquire(now, observed.takeover_requested) {
+        process.takeover.step(now, observed);
         return Ok(None);
     }
-    let lock = folder.try_lock(LockName::Owner)?;
-    let observed = Observed { lock_acquired: lock.is_some(), takeover_requested, ..Observed::default() };
-    match takeover.step(clock::now(), observed) {
-        Some(Action::StartServing) => Ok(lock),
-        _ => {
-            takeover.lock_refused();
+    match folder.try_lock(LockName::Owner)? {
+        Some(lock) => {
+            process.takeover.step(now, Observed { lock_acquired: true, ..observed });
+            Ok(Some(lock))
+        }
+        None => {
+            process.takeover.step(now, Observed { owned_by_other: true, ..observed });
             Ok(None)
         }
     }
--- /dev/null
+++ b/src/daemon/released.rs
@@ -0,0 +1,68 @@
+//! The time after this process has released the journal: its calls in flight end, and its clients are sent to the successor.
+use super::serving::Service;
+use super::{Process, RunEnd};
+use crate::client;
+use crate::clock;
+use crate::exchange::{ClientConnections, SHUTDOWN_TIMEOUT};
+use crate::takeover::state::{Action, Observed, POLL_INTERVAL};
+use crate::takeover::{LockName, SharedFolder};
+use tokio::signal::unix::Signal;
+use tokio::time::Instant;
+
+/// Runs until nothing is left of the time as the owner, or the process is told to end and may, or its time is up.
+///
+/// It goes on to accept clients, and rejects their requests: until the successor listens there is nobody else to do so,
+/// and where the kernel prefers the successor's listener, this one is there should the successor die.
+pub(super) async fn run(
+    service: Service, process: &mut Process, folder: &SharedFolder, told_to_end_at: Option<Instant>,
+    terminate: &mut Signal,
+) -> RunEnd {
+    let mut give_up_at = told_to_end_at.map(|at| at + SHUTDOWN_TIMEOUT);
+    loop {
+        let observed = observe(&service, folder);
+        let action = process.takeover.step(clock::now(), observed);
+        let successor_listens = observed.owned_by_other && !observed.takeover_requested;
+        let spreads_clients = successor_listens && !process.listener.yields_to_later();
+        if spreads_clients || process.takeover.is_superseded(observed) {
+            stop_accepting(&service, process);
+        }
+        let may_exit = give_up_at.is_some() && process.takeover.may_exit(observed);
+        let is_late = give_up_at.is_some_and(|at| Instant::now() >= at);
+        if action == Some(Action::Reset) || may_exit || is_late {
+            break;
+        }
+        tokio::select! {
+            _ = terminate.recv(), if give_up_at.is_none() => {
+                log::info!("told to end: finishing calls");
+                process.listener.close();
+                give_up_at = Some(Instant::now() + SHUTDOWN_TIMEOUT);
+            }
+            () = tokio::time::sleep(POLL_INTERVAL) => {}
+        }
+    }
+    log::info!("calls ended, or given up for lack of time");
+    service.close_clients().await;
+    if give_up_at.is_none() {
+        return RunEnd::Released;
+    }
+    tokio::time::sleep(client::CLOSE_LINGER).await;
+    RunEnd::Terminated
+}
+
+fn observe(service: &Service, folder: &SharedFolder) -> Observed {
+    // In this order: a successor withdraws its request only once it owns the journal and listens.
+    let takeover_requested = folder.is_locked(LockName::Next);
+    Observed {
+        owned_by_other: folder.is_locked(LockName::Owner),
+        takeover_requested,
+        clients_connected: service.limiter().has_connections(),
+        calls_in_flight: service.exchange().calls_in_flight() > 0,
+        ..Observed::default()
+    }
+}
+
+fn stop_accepting(service: &Service, process: &mut Process) {
+    service.exchange().set_client_connections(ClientConnections::NotAccepted);
+    process.listener.close();
+    process.standby_lock = None;
+}
--- a/src/daemon/serving.rs
+++ b/src/daemon/serving.rs
@@ -1,65 +1,74 @@
 //! The time in which this process owns the journal and serves: until it is told to end, or another process takes over.
 use super::startup::Parts;
-use super::{DaemonError, RunEnd};
-use crate::client;
+use super::{released, DaemonError, Process, RunEnd};
+use crate::client::{self, ConnectionLimiter};
 use crate::clock;
-use crate::exchange::{ClientConnections, Exchange, SHUTDOWN_TIMEOUT};
+use crate::exchange::{ClientConnections, Exchange};
 use crate::fleet::gossip::FleetHandle;
 use crate::mgmt::ManagementServer;
 use crate::settings::Config;
-use crate::takeover::state::{Action, Observed, StateMachine, POLL_INTERVAL};
-use crate::takeover::{FolderLock, LockName, SharedFolder};
+use crate::takeover::state::{Action, Observed};
+use crate::takeover::{FolderLock, LateOutcomeWriter, LockName, SharedFolder, TakeoverError};
+use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 
 /// The platform's client address, and the parts behind it.
 pub(super) struct Service {
-    config: Config,
     parts: Parts,
     management: Option<ManagementServer>,
     /// The task that accepts and serves clients; it ends once their connections are closed.
     accept_task: JoinHandle<()>,
 }
 
+/// A graceful shutdown that has been requested.
+struct Shutdown {
+    requested_at: Instant,
+    /// Ends when calls have ended, or time is up.
+    calls: JoinHandle<()>,
+}
+
 impl Service {
-    /// Listens for clients, on a listener that is open already where there is one.
+    /// Serves clients on this listener.
     pub(super) fn start(
-        config: Config, parts: Parts, management: Option<ManagementServer>, listener: Option<TcpListener>,
-    ) -> Result<Service, DaemonError> {
-        let listener = match listener {
-            Some(listener) => listener,
-            None => listen(&config, management.is_some())?,
-        };
-        let accept_task = accept_clients(&config, &parts, listener);
+        config: &Config, parts: Parts, management: Option<ManagementServer>, listener: TcpListener,
+    ) -> Service {
+        let accept_task = accept_clients(config, &parts, listener);
         if let Some(management) = &management {
             management.set_serving(Some(parts.exchange.clone()));
         }
         log::info!("ready: {} listens on {}", config.name, config.listen);
-        Ok(Service { config, parts, management, accept_task })
+        Service { parts, management, accept_task }
     }
 
-    /// Serves until SIGTERM, or until another process has taken the journal over.
+    /// Serves until SIGTERM, or until another process has taken the journal over. SIGTERM does not keep the process from
+    /// handing over: clients that come to its successor are served, and those that come to a process that ends are not.
     pub(super) async fn run(
-        mut self, folder: &SharedFolder, owner_lock: FolderLock, takeover: &mut StateMachine,
-        terminate: &mut Signal,
+        self, process: &mut Process, folder: &SharedFolder, owner_lock: FolderLock, terminate: &mut Signal,
     ) -> Result<RunEnd, DaemonError> {
         // Without an address for operators nobody starts a second process, and the locks are not polled.
         let polls_locks = self.management.is_some();
+        let mut shutdown: Option<Shutdown> = None;
         loop {
             tokio::select! {
-                _ = terminate.recv() => break,
-                () = tokio::time::sleep(takeover.poll_interval()), if polls_locks => {}
+                _ = terminate.recv(), if shutdown.is_none() => {
+                    process.listener.close();
+                    shutdown = Some(self.start_shutdown().await);
+                }
+                () = calls_ended(&mut shutdown) => break,
+                () = tokio::time::sleep(process.takeover.poll_interval()), if polls_locks => {}
             }
-            match takeover.step(clock::now(), self.observe(folder)) {
-                Some(Action::StopAccepting) => self.stop_accepting(),
-                Some(Action::ResumeAccepting) => self.resume_accepting()?,
-                Some(Action::Release) if self.release_journal(folder, takeover).await => {
+            match process.takeover.step(clock::now(), self.observe(folder)) {
+                Some(Action::Drain) => self.drain_clients(),
+                Some(Action::Resume) => self.resume(),
+                Some(Action::Release) if self.release_journal(process, folder).await => {
                     drop(owner_lock);
                     let calls = self.exchange().calls_in_flight();
                     log::info!(calls; "handed over; ending the calls that are out");
-                    return Ok(finish_calls(self.exchange(), takeover, terminate).await);
+                    let told_to_end_at = shutdown.map(|shutdown| shutdown.requested_at);
+                    return Ok(released::run(self, process, folder, told_to_end_at, terminate).await);
                 }
                 // The last two belong to the times before and after this one.
                 None | Some(Action::Release | Action::StartServing | Action::Reset) => {}
@@ -69,41 +78,56 @@
         Ok(RunEnd::Terminated)
     }
 
-    fn exchange(&self) -> &Exchange {
+    pub(super) fn exchange(&self) -> &Exchange {
         &self.parts.exchange
     }
 
+    pub(super) fn limiter(&self) -> &Arc<ConnectionLimiter> {
+        &self.parts.limiter
+    }
+
+    /// Waits until all clients have had their answers and are gone, or time is up.
+    pub(super) async fn close_clients(self) {
+        self.exchange().set_client_connections(ClientConnections::Closing);
+        let _ = timeout(client::FINAL_RESPONSES, self.accept_task).await;
+    }
+
     fn observe(&self, folder: &SharedFolder) -> Observed {
+        let takeover_requested = folder.is_locked(LockName::Next);
         Observed {
-            clients_connected: !self.accept_task.is_finished(),
-            takeover_requested: folder.is_locked(LockName::Next),
-            release_blocked: self.exchange().is_release_blocked(),
+            clients_connected: self.limiter().has_connections(),
+            takeover_requested,
+            release_blocked: takeover_requested && self.is_release_blocked(folder),
             ..Observed::default()
         }
     }
 
-    fn stop_accepting(&self) {
+    fn is_release_blocked(&self, folder: &SharedFolder) -> bool {
+        self.exchange().is_release_blocked() || folder.is_locked(LockName::Standby)
+    }
+
+    fn drain_clients(&self) {
         log::info!("another process asks for the folder: handing over");
-        self.exchange().set_client_connections(ClientConnections::Close);
+        self.exchange().set_client_connections(ClientConnections::Draining);
     }
 
-    fn resume_accepting(&mut self) -> Result<(), DaemonError> {
+    fn resume(&self) {
         log::warn!("the process that asked is gone, or the journal cannot be handed on: serving again");
-        self.accept_task.abort();
-        self.exchange().set_client_connections(ClientConnections::KeepOpen);
-        let listener = listen(&self.config, self.management.is_some())?;
-        self.accept_task = accept_clients(&self.config, &self.parts, listener);
-        Ok(())
+        self.exchange().set_client_connections(ClientConnections::Open);
     }
 
-    /// Releases the journal; `false` where its late outcomes cannot be written, and this process goes on as owner.
-    async fn release_journal(&self, folder: &SharedFolder, takeover: &mut StateMachine) -> bool {
-        // Locked before the journal is released, or the successor would take the calls in flight for lost.
-        let late_outcomes = match folder.create_late_outcomes() {
-            Ok(late_outcomes) => late_outcomes,
+    /// Releases the journal; `false` where its late outcomes cannot be written, or another process is on standby, and this
+    /// process goes on as owner.
+    async fn release_journal(&self, process: &mut Process, folder: &SharedFolder) -> bool {
+        let late_outcomes = match take_release_locks(process, folder) {
+            Ok(Some(late_outcomes)) => late_outcomes,
+            Ok(None) => {
+                process.takeover.release_failed(clock::now());
+                return false;
+            }
             Err(error) => {
                 log::error!("not handed over: {error}");
-                takeover.release_failed(clock::now());
+                process.takeover.release_failed(clock::now());
                 return false;
             }
         };
@@ -114,55 +138,56 @@
         true
     }
 
-    /// A graceful shutdown: the fleet hears of it first, then calls finish, clients get their last answers, and the fleet
-    /// hears that this member has left.
-    async fn shut_down(self) {
+    /// Begins a graceful shutdown: the fleet hears of it first, then calls finish.
+    async fn start_shutdown(&self) -> Shutdown {
         log::info!("told to end: finishing calls");
-        let fleet: Option<&FleetHandle> = self.parts.fleet.as_ref();
-        if let Some(fleet) = fleet {
+        let requested_at = Instant::now();
+        if let Some(fleet) = self.fleet() {
             fleet.drain().await;
         }
-        self.parts.exchange.shut_down().await;
-        let _ = tokio::time::timeout(client::FINAL_RESPONSES, self.accept_task).await;
+        let exchange = self.exchange().clone();
+        Shutdown { requested_at, calls: tokio::spawn(async move { exchange.shut_down().await }) }
+    }
+
+    /// Ends a graceful shutdown: clients get their last answers, and the fleet hears that this member has left.
+    async fn shut_down(self) {
+        let fleet = self.fleet().cloned();
+        self.close_clients().await;
         tokio::time::sleep(client::CLOSE_LINGER).await;
         if let Some(fleet) = fleet {
             fleet.leave().await;
         }
         log::info!("ended");
     }
+
+    fn fleet(&self) -> Option<&FleetHandle> {
+        self.parts.fleet.as_ref()
+    }
 }
 
-/// Opens the clients' listener; `shared` where a successor may listen at the same address.
-fn listen(config: &Config, shared: bool) -> Result<TcpListener, DaemonError> {
-    client::listen(config.listen, shared).map_err(DaemonError::ClientAddress)
+/// The locks that come before a release: without that of the late outcomes the successor would take the calls in flight for
+/// lost. `None` where another process is on standby still.
+fn take_release_locks(
+    process: &mut Process, folder: &SharedFolder,
+) -> Result<Option<LateOutcomeWriter>, TakeoverError> {
+    let Some(standby) = folder.try_lock(LockName::Standby)? else { return Ok(None) };
+    let late_outcomes = folder.create_late_outcomes()?;
+    process.standby_lock = Some(standby);
+    Ok(Some(late_outcomes))
 }
 
 fn accept_clients(config: &Config, parts: &Parts, listener: TcpListener) -> JoinHandle<()> {
     let routes = client::platform::routes(config.deployment.clone(), parts.exchange.clone());
     let front = client::Front { listener, routes, limits: client::platform::LIMITS, tls: None };
-    tokio::spawn(client::serve(front, parts.limiter.clone(), parts.exchange.close_signal()))
+    tokio::spawn(client::serve(front, parts.limiter.clone(), parts.exchange.client_connections()))
 }
 
-/// After a release: until the calls in flight have ended, or the process is told to end and its time is up.
-async fn finish_calls(exchange: &Exchange, takeover: &mut StateMachine, terminate: &mut Signal) -> RunEnd {
-    let mut give_up_at: Option<Instant> = None;
-    loop {
-        let observed = Observed { calls_in_flight: exchange.calls_in_flight() > 0, ..Observed::default() };
-        let is_done = takeover.step(clock::now(), observed) == Some(Action::Reset);
-        let is_late = give_up_at.is_some_and(|at| Instant::now() >= at);
-        if is_done || is_late {
-            log::info!("calls ended, or given up for lack of time");
-            return match give_up_at {
-                Some(_) => RunEnd::Terminated,
-                None => RunEnd::Released,
-            };
-        }
-        tokio::select! {
-            _ = terminate.recv(), if give_up_at.is_none() => {
-                log::info!("told to end: finishing calls");
-                give_up_at = Some(Instant::now() + SHUTDOWN_TIMEOUT);
-            }
-            () = tokio::time::sleep(POLL_INTERVAL) => {}
+/// Returns when the calls of a shutdown have ended; never without a shutdown.
+async fn calls_ended(shutdown: &mut Option<Shutdown>) {
+    match shutdown {
+        Some(shutdown) => {
+            let _ = (&mut shutdown.calls).await;
         }
+        None => std::future::pending().await,
     }
 }
--- /dev/null
+++ b/src/daemon/standby.rs
@@ -0,0 +1,46 @@
+//! A process that has released the journal and waits to take it again: it goes on to listen behind its successor. The kernel
+//! gives it new connections only once the successor is gone; until it serves again it rejects their requests, with the time
+//! after which they may come again. So no client is refused because a successor died.
+use super::{DaemonError, CLIENT_SOCKETS_DIVISOR};
+use crate::client::{self, ConnectionLimiter, SharedListener};
+use crate::core;
+use crate::exchange::ClientConnections;
+use crate::settings::Config;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Accepts and rejects clients until it is dropped or closed.
+pub(super) struct Standby {
+    accept_task: JoinHandle<()>,
+    connections: watch::Sender<ClientConnections>,
+}
+
+impl Standby {
+    pub(super) fn start(config: &Config, listener: &SharedListener) -> Result<Standby, DaemonError> {
+        let retry_after = core::rejection_retry_after(&config.deployment.module);
+        let front = client::Front {
+            listener: listener.accept_handle().map_err(DaemonError::ClientAddress)?,
+            routes: client::platform::rejecting_routes(retry_after),
+            limits: client::platform::LIMITS,
+            tls: None,
+        };
+        let (connections, closing) = watch::channel(ClientConnections::Draining);
+        let limiter = ConnectionLimiter::new(config.socket_limit / CLIENT_SOCKETS_DIVISOR);
+        let accept_task = tokio::spawn(client::serve(front, limiter, closing));
+        Ok(Standby { accept_task, connections })
+    }
+
+    /// Accepts nothing more, and waits until all clients have their answers.
+    pub(super) async fn close(mut self) {
+        self.connections.send_replace(ClientConnections::Closing);
+        let _ = timeout(client::FINAL_RESPONSES, &mut self.accept_task).await;
+    }
+}
+
+impl Drop for Standby {
+    /// The connections that were accepted have tasks of their own, and end by themselves.
+    fn drop(&mut self) {
+        self.accept_task.abort();
+    }
+}
--- a/src/daemon/startup.rs
+++ b/src/daemon/startup.rs
@@ -1,7 +1,7 @@
 //! Builds the parts round the journal, and starts their tasks.
-use super::DaemonError;
+use super::{DaemonError, CLIENT_SOCKETS_DIVISOR};
 use crate::as2::As2Settings;
-use crate::client::{self, ConnectionLimiter};
+use crate::client::{self, ConnectionLimiter, SharedListener};
 use crate::core::{Core, CoreOptions, Predecessor};
 use crate::exchange::{EndpointUpdate, Exchange, Outputs};
 use crate::flags::RunFlags;
@@ -12,14 +12,12 @@
 use crate::takeover::state::POLL_INTERVAL;
 use crate::takeover::{LateOutcomeReader, SharedFolder};
 use crate::{acme, callbacks, clock, discovery, peers, reload, upstream};
+use std::io;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, watch};
 
-/// Share of the process's sockets that client connections may take, as a divisor: the rest is for endpoints and files.
-const CLIENT_SOCKETS_DIVISOR: usize = 3;
-
 /// The parts that run while this process owns the journal.
 pub(super) struct Parts {
     pub(super) exchange: Exchange,
@@ -115,12 +113,22 @@
     DiscoveryParts { address, fleet }
 }
 
+/// Listens at the AS2 address. Where a second process may take over, the predecessor listens there still.
+async fn listen_for_partners(config: &Config, address: &str) -> io::Result<TcpListener> {
+    let mut addresses = tokio::net::lookup_host(address).await?;
+    let address = addresses.next().ok_or_else(|| io::Error::other(format!("{address}: no such address")))?;
+    match config.mgmt {
+        Some(_) => SharedListener::open(address)?.accept_handle(),
+        None => client::listen(address),
+    }
+}
+
 /// Listens for AS2 partners, with TLS where the settings name an authority for its certificate.
 async fn start_as2_front(
     config: &Config, settings: Arc<As2Settings>, exchange: &Exchange,
     receipts: mpsc::UnboundedReceiver<crate::core::Callback>, limiter: &Arc<ConnectionLimiter>,
 ) -> Result<(), DaemonError> {
-    let listener = TcpListener::bind(&settings.listen).await.map_err(DaemonError::ClientAddress)?;
+    let listener = listen_for_partners(config, &settings.listen).await.map_err(DaemonError::ClientAddress)?;
     log::info!("AS2 front listens on {}", settings.listen);
     tokio::spawn(client::as2::send_mdns(settings.clone(), exchange.clone(), receipts));
     let authority = settings.acme.clone();
@@ -136,6 +144,6 @@
         tokio::spawn(acme::run(authority, config.state_dir.clone(), certificates));
     }
     let front = client::Front { listener, routes, limits: client::as2::LIMITS, tls };
-    tokio::spawn(client::serve(front, limiter.clone(), exchange.close_signal()));
+    tokio::spawn(client::serve(front, limiter.clone(), exchange.client_connections()));
     Ok(())
 }
--- a/src/exchange/command.rs
+++ b/src/exchange/command.rs
@@ -22,7 +22,7 @@
     Observations { reply: oneshot::Sender<Vec<EndpointObservation>> },
     /// An operator suspends or resumes an endpoint.
     SetSuspension { uid: String, suspension: Suspension, reply: oneshot::Sender<SuspensionResult> },
-    /// Whether client connections stay open.
+    /// How far client connections are closed.
     SetClientConnections(ClientConnections),
     /// The journal belongs to another process from now on; outcomes of calls in flight go to `late`.
     ReleaseJournal { late: LateOutcomeWriter, reply: oneshot::Sender<()> },
@@ -45,13 +45,17 @@
     Resume,
 }
 
-/// What becomes of client connections between two requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// How far client connections are closed; each step goes further than the one before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ClientConnections {
-    /// They stay open for the next request.
-    KeepOpen,
-    /// They are closed, and no new one is accepted.
-    Close,
+    /// They are accepted, and stay open for the next request.
+    Open,
+    /// They are accepted, and closed between two requests.
+    Draining,
+    /// The same, but no new one is accepted.
+    NotAccepted,
+    /// The same, and a request that is still arriving is soon given up. This is final.
+    Closing,
 }
 
 /// One attempt of a message.
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -46,7 +46,7 @@
 pub struct Exchange {
     commands: UnboundedSender<Command>,
     core: SharedCore,
-    close_signal: watch::Receiver<bool>,
+    client_connections: watch::Receiver<ClientConnections>,
 }
 
 /// The receiving ends of the work that the exchange hands out.
@@ -64,9 +64,9 @@
     pub fn new(core: Core) -> (Exchange, Outputs) {
         let (commands, received) = unbounded_channel();
         let core = SharedCore::new(core);
-        let (task, close_signal, outputs) = ExchangeTask::new(core.clone());
+        let (task, client_connections, outputs) = ExchangeTask::new(core.clone());
         tokio::spawn(task.run(received));
-        (Exchange { commands, core, close_signal }, outputs)
+        (Exchange { commands, core, client_connections }, outputs)
     }
 
     /// Submits a request. A caller that drops this future before the answer withdraws the request. Once the exchange task has
@@ -147,7 +147,7 @@
         self.send(Command::ReceiptReceived { message_id, receipt });
     }
 
-    /// Whether client connections stay open between requests.
+    /// Sets how far client connections are closed. Once they are closed to the end this changes nothing.
     pub fn set_client_connections(&self, connections: ClientConnections) {
         self.send(Command::SetClientConnections(connections));
     }
@@ -187,9 +187,9 @@
         let _ = self.request(|reply| Command::ShutDown { reply }).await;
     }
 
-    /// True while client connections are to be closed.
-    pub fn close_signal(&self) -> watch::Receiver<bool> {
-        self.close_signal.clone()
+    /// How far client connections are closed.
+    pub fn client_connections(&self) -> watch::Receiver<ClientConnections> {
+        self.client_connections.clone()
     }
 
     /// Sends a command and waits for its reply.
--- a/src/exchange/task.rs
+++ b/src/exchange/task.rs
@@ -31,6 +31,12 @@
     reply: oneshot::Sender<SuspensionResult>,
 }
 
+/// A release of the journal that has been requested.
+struct ReleaseRequest {
+    late: LateOutcomeWriter,
+    reply: oneshot::Sender<()>,
+}
+
 /// Why the task woke up.
 enum Wakeup {
     Command(Command),
@@ -51,21 +57,23 @@
     upstream_commands: UnboundedSender<UpstreamCommand>,
     platform_callbacks: UnboundedSender<Callback>,
     as2_receipts: UnboundedSender<Callback>,
-    close_signal: watch::Sender<bool>,
+    client_connections: watch::Sender<ClientConnections>,
     /// Set once the journal belongs to another process: outcomes of calls in flight go here.
     late: Option<LateOutcomeWriter>,
     /// Applied after all inputs of their step, an endpoint list among them, so that they find the endpoints it adds.
     suspensions: Vec<SuspensionRequest>,
+    /// Carried out after the inputs of its step: whoever asked before the release is answered by the owner.
+    release: Option<ReleaseRequest>,
     shutdown: Option<Shutdown>,
 }
 
 impl ExchangeTask {
-    /// A task for this core, the signal that client connections are to be closed, and the receiving ends of its outputs.
-    pub(super) fn new(core: SharedCore) -> (ExchangeTask, watch::Receiver<bool>, Outputs) {
+    /// A task for this core, how far client connections are closed, and the receiving ends of its outputs.
+    pub(super) fn new(core: SharedCore) -> (ExchangeTask, watch::Receiver<ClientConnections>, Outputs) {
         let (upstream_commands, upstream_commands_received) = unbounded_channel();
         let (platform_callbacks, platform_callbacks_received) = unbounded_channel();
         let (as2_receipts, as2_receipts_received) = unbounded_channel();
-        let (close_signal, close_signal_received) = watch::channel(false);
+        let (client_connections, client_connections_received) = watch::channel(ClientConnections::Open);
         let tick = Duration::from_nanos(core.lock().tick().0).min(MAX_TICK);
         let task = ExchangeTask {
             core,
@@ -75,9 +83,10 @@
             upstream_commands,
             platform_callbacks,
             as2_receipts,
-            close_signal,
+            client_connections,
             late: None,
             suspensions: Vec::new(),
+            release: None,
             shutdown: None,
         };
         let outputs = Outputs {
@@ -85,7 +94,7 @@
             platform_callbacks: platform_callbacks_received,
             as2_receipts: as2_receipts_received,
         };
-        (task, close_signal_received, outputs)
+        (task, client_connections_received, outputs)
     }
 
     /// Runs until the last handle is dropped, which is when the process exits.
@@ -111,6 +120,9 @@
             }
             self.step(inputs);
             self.advance_shutdown();
+            if let Some(request) = self.release.take() {
+                self.release_journal(request);
+            }
         }
     }
 
@@ -148,9 +160,9 @@
                 self.suspensions.push(SuspensionRequest { uid, suspension, reply });
             }
             Command::SetClientConnections(connections) => {
-                let _ = self.close_signal.send(connections == ClientConnections::Close);
+                self.set_client_connections(connections);
             }
-            Command::ReleaseJournal { late, reply } => self.release_journal(late, reply, inputs),
+            Command::ReleaseJournal { late, reply } => self.release = Some(ReleaseRequest { late, reply }),
             Command::ShutDown { reply } => {
                 let (requested_at, phase) = (Instant::now(), ShutdownPhase::Serving);
                 self.shutdown = Some(Shutdown { requested_at, phase, reply });
@@ -193,21 +205,27 @@
         }
     }
 
+    fn set_client_connections(&self, connections: ClientConnections) {
+        // A takeover that is undone while the process ends does not open them again.
+        self.client_connections.send_if_modified(|now| {
+            let is_change = *now != ClientConnections::Closing && *now != connections;
+            if is_change {
+                *now = connections;
+            }
+            is_change
+        });
+    }
+
     fn finish_shutdown(&mut self) {
-        let _ = self.close_signal.send(true);
+        self.set_client_connections(ClientConnections::Closing);
         if let Some(shutdown) = self.shutdown.take() {
             let _ = shutdown.reply.send(());
         }
     }
 
-    /// Releases the journal. Inputs that came before are applied first, while it still belongs to this process.
-    fn release_journal(
-        &mut self, mut late: LateOutcomeWriter, reply: oneshot::Sender<()>, inputs: &mut Vec<Input>,
-    ) {
-        let now = clock::now();
-        let outputs = self.core.lock().step(now, std::mem::take(inputs));
-        inputs.extend(self.execute(outputs));
-        for record in self.core.lock().release_journal(now) {
+    fn release_journal(&mut self, request: ReleaseRequest) {
+        let ReleaseRequest { mut late, reply } = request;
+        for record in self.core.lock().release_journal(clock::now()) {
             late.append(&record);
         }
         self.late = Some(late);
--- a/src/takeover/lock.rs
+++ b/src/takeover/lock.rs
@@ -16,8 +16,10 @@
 pub enum LockName {
     /// That of the journal's owner.
     Owner,
-    /// That of the process that asks to become the owner.
+    /// That of the process that asks to become the owner, until it serves.
     Next,
+    /// That of the process that has released the journal, and goes on to listen behind its successor.
+    Standby,
 }
 
 impl LockName {
@@ -25,6 +27,7 @@
         match self {
             LockName::Owner => "owner",
             LockName::Next => "next",
+            LockName::Standby => "standby",
         }
     }
 }
@@ -73,6 +76,22 @@
         Ok(is_ours.then_some(FolderLock(file)))
     }
 
+    /// Acquires a lock, and blocks the thread until it is free: the kernel wakes it in that very moment.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be opened or locked.
+    pub fn lock(&self, name: LockName) -> Result<FolderLock, TakeoverError> {
+        let file = self.open_file(name.file_name())?;
+        let error = |source| TakeoverError {
+            path: self.path_of(name.file_name()),
+            problem: "cannot be locked",
+            source,
+        };
+        file.lock().map_err(error)?;
+        Ok(FolderLock(file))
+    }
+
     /// Whether another process holds the lock. One whose file does not exist or cannot be opened is held by none.
     pub fn is_locked(&self, name: LockName) -> bool {
         let Ok(file) = File::open(self.path_of(name.file_name())) else { return false };
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -6,7 +6,8 @@
 //! | file | which process has its lock |
 //! | --- | --- |
 //! | `owner` | the owner of the journal: no other process writes it |
-//! | `next` | a successor that is ready to serve, and asks for the folder |
+//! | `next` | a successor that asks for the folder, until it serves |
+//! | `standby` | a predecessor that listens behind its successor |
 //! | `late` | a predecessor with calls in flight; the file has their outcomes |
 #![warn(missing_docs)]
 mod late_outcomes;
--- a/src/takeover/state.rs
+++ b/src/takeover/state.rs
@@ -5,23 +5,15 @@
 use std::time::Duration;
 
 /// How long client connections may take to drain before the journal is released; what comes on those that are left is
-/// rejected then. With the times between two polls of the locks it stays under the 400 ms that a client waits for its
-/// answer, which is how long one may wait in the accept queue of the process that does not own the journal yet.
+/// rejected then.
 pub const DRAIN_TIMEOUT: Nanos = Nanos(150_000_000);
 /// The time between two polls of the locks, in a process that waits for a change of them.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// The same in a successor that asks: until it owns the journal, clients are rejected.
-pub const SUCCESSOR_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// How long a released journal is kept for the successor that asked for it. One that polls so much later is stopped, and
 /// the predecessor serves again.
 pub const REQUEST_LEASE: Nanos = Nanos(1_000_000_000);
 /// The same in a process that serves: it polls for as long as it runs, mostly in vain.
 pub const SERVING_POLL_INTERVAL: Duration = Duration::from_millis(50);
-const _: () = assert!(
-    SERVING_POLL_INTERVAL.as_nanos() + 2 * POLL_INTERVAL.as_nanos() + (DRAIN_TIMEOUT.0 as u128) < 300_000_000,
-    "a client waits 0.4 s"
-);
-
 /// Where a process stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum State {
@@ -29,12 +21,13 @@
     WaitingForLock,
     /// It owns the journal and accepts clients.
     Serving,
-    /// It owns the journal, serves the connections that it has, and accepts no new ones.
+    /// It owns the journal and serves, and closes client connections between requests.
     Draining {
         /// Since when.
         since: Nanos,
     },
-    /// It has released the journal, and waits for its calls in flight to end.
+    /// It has released the journal, and rejects requests. It waits for its calls in flight to end, and for its client
+    /// connections to be closed.
     Released,
 }
 
@@ -43,13 +36,16 @@
 pub struct Observed {
     /// The owner's lock was free, and this process holds it now. Only meaningful in [`State::WaitingForLock`].
     pub lock_acquired: bool,
+    /// Another process holds the owner's lock.
+    pub owned_by_other: bool,
     /// Another process asks to take the folder over, and does not serve yet.
     pub takeover_requested: bool,
     /// Client connections are open.
     pub clients_connected: bool,
     /// Calls to endpoints are in flight.
     pub calls_in_flight: bool,
-    /// The journal must not be released now: it cannot be written, or calls of the predecessor are still in flight.
+    /// The journal must not be released now: it cannot be written, calls of the predecessor are still in flight, or it
+    /// still listens.
     pub release_blocked: bool,
 }
 
@@ -58,14 +54,14 @@
 pub enum Action {
     /// Read the journal and accept clients.
     StartServing,
-    /// Accept no new client connections, and close those that are between requests.
-    StopAccepting,
-    /// Accept clients again.
-    ResumeAccepting,
-    /// Write what is known into `late` and keep its lock; then accept nothing, start no attempt, and release the owner's
+    /// Close client connections between requests. New ones are accepted still: nobody else listens yet.
+    Drain,
+    /// Keep client connections open again.
+    Resume,
+    /// Write what is known into `late` and keep its lock; then reject requests, start no attempt, and release the owner's
     /// lock.
     Release,
-    /// Release `late` and drop all state: the journal belongs to another process.
+    /// Release `late` and drop all state: the journal belongs to another process, or may be taken again.
     Reset,
 }
 
@@ -76,6 +72,8 @@
     pub state: State,
     /// When it released the journal, until another process is known to have taken it.
     released_at: Option<Nanos>,
+    /// Another process has taken the journal that this one released, and serves.
+    successor_serves: bool,
     /// The request that is pending expired before: it is passed over until it is withdrawn.
     is_request_expired: bool,
 }
@@ -83,7 +81,12 @@
 impl StateMachine {
     /// For a process that has just started.
     pub fn new() -> StateMachine {
-        StateMachine { state: State::WaitingForLock, released_at: None, is_request_expired: false }
+        StateMachine {
+            state: State::WaitingForLock,
+            released_at: None,
+            successor_serves: false,
+            is_request_expired: false,
+        }
     }
 
     /// The time until the next step.
@@ -99,48 +102,71 @@
     /// Without this a predecessor, which is the first to find the lock free, takes the journal back from the successor
     /// that asked for it, again and again (issue 48).
     pub fn may_acquire(&self, now: Nanos, takeover_requested: bool) -> bool {
-        let is_expired = self.released_at.is_some_and(|at| now - at >= REQUEST_LEASE);
-        self.state == State::WaitingForLock && (!takeover_requested || is_expired)
+        self.state == State::WaitingForLock && (!takeover_requested || self.is_lease_over(now))
     }
 
-    /// The owner's lock was tried and is another process's: the successor has taken the journal.
-    pub fn lock_refused(&mut self) {
-        self.released_at = None;
+    /// Whether a further process asks the successor of this one for the folder. This one has no part in it any more.
+    pub fn is_superseded(&self, observed: Observed) -> bool {
+        self.successor_serves && observed.owned_by_other && observed.takeover_requested
+    }
+
+    /// Whether this process, told to end, may do so: its calls have ended, and no successor is about to serve.
+    pub fn may_exit(&self, observed: Observed) -> bool {
+        !observed.calls_in_flight && (self.successor_serves || !observed.takeover_requested)
     }
 
     /// Takes what is observed, and returns what is to be done now. Nothing changes between two steps.
     pub fn step(&mut self, now: Nanos, observed: Observed) -> Option<Action> {
         self.is_request_expired &= observed.takeover_requested;
+        if observed.owned_by_other && (!observed.takeover_requested || self.is_lease_over(now)) {
+            self.released_at = None;
+            self.successor_serves = true;
+        }
         let (next, action) = self.transition(now, observed)?;
         self.state = next;
         match action {
             Action::Release => self.released_at = Some(now),
             Action::StartServing => {
                 self.released_at = None;
+                self.successor_serves = false;
                 self.is_request_expired = observed.takeover_requested;
             }
-            Action::StopAccepting | Action::ResumeAccepting | Action::Reset => {}
+            Action::Drain | Action::Resume | Action::Reset => {}
         }
         Some(action)
     }
 
+    fn is_lease_over(&self, now: Nanos) -> bool {
+        self.released_at.is_some_and(|at| now - at >= REQUEST_LEASE)
+    }
+
     fn transition(&self, now: Nanos, observed: Observed) -> Option<(State, Action)> {
         let is_requested = observed.takeover_requested && !self.is_request_expired;
         // Guards what is owed: a journal that cannot be written is not handed to another process.
         let may_release = is_requested && !observed.release_blocked;
         match self.state {
             State::WaitingForLock => observed.lock_acquired.then_some((State::Serving, Action::StartServing)),
-            State::Serving => may_release.then_some((State::Draining { since: now }, Action::StopAccepting)),
+            State::Serving => may_release.then_some((State::Draining { since: now }, Action::Drain)),
             // A successor that does not start, or a disk that fails, leaves this process serving.
-            State::Draining { .. } if !may_release => Some((State::Serving, Action::ResumeAccepting)),
+            State::Draining { .. } if !may_release => Some((State::Serving, Action::Resume)),
             State::Draining { since } => {
                 let drained = !observed.clients_connected || now - since >= DRAIN_TIMEOUT;
                 drained.then_some((State::Released, Action::Release))
             }
-            State::Released => (!observed.calls_in_flight).then_some((State::WaitingForLock, Action::Reset)),
+            State::Released => self.is_over(now, observed).then_some((State::WaitingForLock, Action::Reset)),
         }
     }
 
+    /// Whether nothing is left of the time as the owner. Clients that are connected still are waited for, unless nobody
+    /// serves meanwhile.
+    fn is_over(&self, now: Nanos, observed: Observed) -> bool {
+        let may_go_on = match observed.owned_by_other {
+            true => !observed.clients_connected,
+            false => !observed.takeover_requested || self.is_lease_over(now),
+        };
+        !observed.calls_in_flight && may_go_on
+    }
+
     /// The release failed; the process goes on as the owner, and drains anew.
     pub fn release_failed(&mut self, now: Nanos) {
         self.state = State::Draining { since: now };
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -194,6 +194,10 @@
     assert_eq!((s.calls("slow-p"), s.callbacks("slow-p")), (1, 0));
 }
 
+/// This failed once in some 70 runs: the client was refused. The second process dies so early here that the first one mostly
+/// never hears of it; where it did, it had closed its listener (`handing over` in its log) and opened another one only when
+/// it had found the request gone (`serving again`), 20 ms or more later. It keeps its listener open now, and the second
+/// process listens only once it owns the folder. `tests/takeover_rounds.rs` kills it at every moment, with callers beside.
 #[test]
 fn a_successor_that_asks_and_dies_at_once_changes_nothing() {
     let s = scene("200 OK", "");
--- a/tests/takeover_rounds.rs
+++ b/tests/takeover_rounds.rs
@@ -5,17 +5,37 @@
 //! After a release it went straight back to waiting for the owner's lock and tried it at once, while the second process
 //! looked every 20 ms: nothing said whose turn it was. `crates/lab/tests/takeover/liveness.rs` has the order itself.
 //!
-//! `TAKEOVER_ROUNDS` says how many rounds a test plays.
+//! Callers of such rounds were refused, reset, or closed on without an answer: 267, 226 and 4 of 6,300 calls where the second
+//! process was killed 5 to 250 ms after its start. It listened before it owned the folder, so connections stood in the
+//! queue of a process that did not accept them, and were reset when it died (2 to 37 ms after its start). The first
+//! process closed its listener to hand over, and opened it anew only once it had found the second one gone: whoever came
+//! in between was refused (6 to 232 ms). And when its last call had ended it dropped its tasks, with requests among them.
+//!
+//! `TAKEOVER_ROUNDS` says how many rounds a test plays, `TAKEOVER_SEED` from which seed.
+mod callers;
 mod stand;
+use callers::{timeline, unix_time, Call, Callers, Connections, End};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use stand::*;
+use std::ops::RangeInclusive;
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-/// Within this time of its start a second process has to serve.
+/// Within this time of its start a second process has to serve, and a first one again after the death of a second.
 const SERVES_WITHIN: Duration = Duration::from_millis(500);
 const DEFAULT_ROUNDS: usize = 10;
+/// A second process is killed so long after its start.
+const KILL_AFTER_MS: std::ops::Range<u64> = 5..250;
+const LOG_RESOLUTION: Duration = Duration::from_millis(1);
+const CALLERS: [Connections; 4] = [Connections::New, Connections::Kept, Connections::New, Connections::Kept];
+
+fn from_environment(name: &str, default: usize) -> usize {
+    std::env::var(name).map_or(default, |text| text.parse().expect("a number"))
+}
 
 fn rounds() -> usize {
-    std::env::var("TAKEOVER_ROUNDS").map_or(DEFAULT_ROUNDS, |rounds| rounds.parse().expect("a number"))
+    from_environment("TAKEOVER_ROUNDS", DEFAULT_ROUNDS)
 }
 
 /// A forwarder with a management address, whose only endpoint answers each call at once.
@@ -26,15 +46,19 @@
     Setup { env, max_pending: 1000, ..setup(&discovery(known.clone()), known) }.start()
 }
 
+fn start_second(first: &Daemon) -> Daemon {
+    first.start_beside("RELAY_MGMT", &free_address().to_string())
+}
+
 /// Starts a second process beside this one, waits until it serves, and ends the first one. Returns the second process and
 /// the time until it served.
 fn take_over(first: &mut Daemon) -> (Daemon, Duration) {
     let started = Instant::now();
-    let second = first.start_beside("RELAY_MGMT", &free_address().to_string());
+    let second = start_second(first);
     second.wait_log("ready:");
     let took = started.elapsed();
     // Both look at the locks several times more, so that a first process that takes the folder back is seen.
-    std::thread::sleep(Duration::from_millis(200));
+    sleep(Duration::from_millis(200));
     first.terminate();
     assert!(first.wait_exit(EVENT_TIMEOUT).success());
     let log = first.log();
@@ -43,9 +67,10 @@
     (second, took)
 }
 
-fn play_rounds() {
+/// Takeovers one after the other, each of which has to be over in time.
+fn play_takeovers(first: Daemon) -> Vec<Daemon> {
     // All are kept to the end: the folder is removed with any of them.
-    let mut processes = vec![start_first()];
+    let mut processes = vec![first];
     let mut times = Vec::new();
     for round in 0..rounds() {
         let (second, took) = take_over(processes.last_mut().expect("one runs"));
@@ -55,9 +80,113 @@
     }
     times.sort();
     println!("{} takeovers: {:?} / {:?} / {:?}", times.len(), times[0], times[times.len() / 2], times.last());
+    processes
+}
+
+/// Every call has its answer, apart from those that died with a process that was killed, and those on a connection that had
+/// carried a call before and whose close crossed them (protocol, "Clients to forwarders").
+fn check_calls(calls: &[Call], kills: &[Killed]) {
+    let is_settled = |call: &&Call| call.is_settled();
+    let (settled, rest): (Vec<&Call>, Vec<&Call>) = calls.iter().partition(is_settled);
+    let (killed, rest): (Vec<&Call>, Vec<&Call>) =
+        rest.into_iter().partition(|call| kills.iter().any(|kill| kill.took_along(call)));
+    let (crossed, unanswered): (Vec<&Call>, Vec<&Call>) =
+        rest.into_iter().partition(|call| call.crossed_a_close());
+    let rejected = settled.iter().filter(|call| matches!(call.end, End::Answered { status: 503, .. }));
+    println!(
+        "{} calls: {} answered, {} of them turned away with a time to come again; {} died with a killed process, \
+         {} crossed a close, {} have no answer",
+        calls.len(),
+        settled.len(),
+        rejected.count(),
+        killed.len(),
+        crossed.len(),
+        unanswered.len()
+    );
+    assert!(unanswered.is_empty(), "without an answer:\n{}", timeline(unanswered));
 }
 
 #[test]
 fn each_idle_takeover_is_over_in_time_and_the_folder_changes_hands_once() {
-    play_rounds();
+    play_takeovers(start_first());
+}
+
+#[test]
+fn each_takeover_under_traffic_is_over_in_time_and_every_call_has_its_answer() {
+    let first = start_first();
+    let callers = Callers::start(first.addr, "stats", &CALLERS);
+    let _logs = play_takeovers(first);
+    check_calls(&callers.stop(), &[]);
+}
+
+/// A second process that ran, and when it was killed.
+#[derive(Debug)]
+struct Killed {
+    /// Since when it owned the folder and listened; `None`: it never did.
+    listened_at: Option<Duration>,
+    /// The kill was asked for, and the process was gone.
+    killed: RangeInclusive<Duration>,
+}
+
+impl Killed {
+    /// Whether this call went to the process that was killed while it served: its connection died with it, as in any
+    /// kill, and no other process has it.
+    fn took_along(&self, call: &Call) -> bool {
+        let is_cut = matches!(call.end, End::Reset | End::Closed);
+        let listened = self.listened_at.is_some_and(|at| call.connected_at + LOG_RESOLUTION >= at);
+        is_cut && listened && call.connected_at <= *self.killed.end() && call.ended_at >= *self.killed.start()
+    }
+}
+
+/// The time of the first line of a log with this text.
+fn logged_at(log: &str, text: &str) -> Option<Duration> {
+    let line = log.lines().find(|line| line.contains(text))?;
+    let seconds: f64 = line.split(' ').next()?.parse().expect("a time");
+    Some(Duration::from_secs_f64(seconds))
+}
+
+fn kill_second(first: &Daemon, after: Duration) -> Killed {
+    let mut second = start_second(first);
+    sleep(after);
+    let kill_asked_at = unix_time();
+    second.kill();
+    let killed = kill_asked_at..=unix_time();
+    // Its log is read to the end by another thread.
+    sleep(Duration::from_millis(20));
+    let listened_at = logged_at(&second.log(), "owner of the folder");
+    std::mem::forget(second);
+    Killed { listened_at, killed }
+}
+
+/// Waits until the first process takes messages on.
+fn wait_serving(first: &Daemon, round: usize) {
+    let killed = Instant::now();
+    let mut tries = 0;
+    while first.submit("stats", &format!("after-{round}-{tries}")) != 202 {
+        tries += 1;
+        assert!(
+            killed.elapsed() < SERVES_WITHIN,
+            "round {round}: nobody serves after {:?}",
+            killed.elapsed()
+        );
+        sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn callers_of_a_successor_that_is_killed_have_their_answers() {
+    let seed = from_environment("TAKEOVER_SEED", 1) as u64;
+    println!("seed {seed}: TAKEOVER_SEED={seed} cargo test --test takeover_rounds callers_of");
+    let mut random = StdRng::seed_from_u64(seed);
+    let first = start_first();
+    let callers = Callers::start(first.addr, "stats", &CALLERS);
+    let mut kills = Vec::new();
+    for round in 0..rounds() {
+        let after = Duration::from_millis(random.random_range(KILL_AFTER_MS));
+        kills.push(kill_second(&first, after));
+        wait_serving(&first, round);
+    }
+    let owners = kills.iter().filter(|kill| kill.listened_at.is_some()).count();
+    println!("{} kills, {owners} of them of a process that owned the folder", kills.len());
+    check_calls(&callers.stop(), &kills);
 }
