SIGTERM is heard also while a process forgets its time as the folder's owner

What was seen: a process that gets SIGTERM in the milliseconds in which it drops one runtime and builds the next goes on until SIGKILL.

Cause: the handlers belong to a runtime; between the last time's and the next one's the signal was taken and passed on to nobody.

Mend: the next handlers are installed before the earlier ones are dropped, and what came to those unheard is passed on. It holds since there is always a handler, and both are asked at the change.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -2,13 +2,14 @@
 //!
 //! `ownership` waits for the journal, `startup` builds the parts round it, `serving` runs them until the process is to end
 //! or another one takes over, and `released` sees the process through the time after that. `listener` and `standby` are the
-//! clients' address across these times.
+//! clients' address across these times, `signals` hears SIGTERM.
 #![warn(missing_docs)]
 mod error;
 mod listener;
 mod ownership;
 mod released;
 mod serving;
+mod signals;
 mod standby;
 mod startup;
 
@@ -24,7 +25,9 @@
 use listener::ClientListener;
 use ownership::Ownership;
 use serving::Service;
+use signals::Terminate;
 use std::time::Duration;
+use tokio::runtime::Runtime;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// The soonest that a planned restart kills the process after SIGTERM.
@@ -48,14 +51,36 @@
 /// The daemon cannot start, or cannot go on after a takeover that was undone.
 pub fn run(flags: &RunFlags) -> Result<(), DaemonError> {
     let mut process = Process::default();
+    let mut generation = Generation::new()?;
     loop {
-        // One runtime for each time that this process owns the journal: all tasks of that time end with it.
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(DaemonError::System)?;
-        match runtime.block_on(run_once(flags, &mut process))? {
+        let Generation { runtime, mut terminate, hangup } = generation;
+        match runtime.block_on(run_once(flags, &mut process, &mut terminate, hangup))? {
             RunEnd::Terminated => return Ok(()),
             RunEnd::Released => process.has_released = true,
         }
+        // The next handlers before these are dropped: a signal that came to none would be lost (issue 48).
+        generation = Generation::new()?;
+        generation.terminate.add(&mut terminate);
+    }
+}
+
+/// A runtime and its signal handlers, for each time that this process owns the journal or waits for it: all tasks of that
+/// time end with it.
+struct Generation {
+    runtime: Runtime,
+    terminate: Terminate,
+    hangup: Signal,
+}
+
+impl Generation {
+    fn new() -> Result<Generation, DaemonError> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(DaemonError::System)?;
+        let context = runtime.enter();
+        let terminate = Terminate::install().map_err(DaemonError::System)?;
+        let hangup = signal(SignalKind::hangup()).map_err(DaemonError::System)?;
+        drop(context);
+        Ok(Generation { runtime, terminate, hangup })
     }
 }
 
@@ -79,33 +104,19 @@
     Released,
 }
 
-/// The signals that the daemon handles.
-struct Signals {
-    terminate: Signal,
-    hangup: Signal,
-}
-
-impl Signals {
-    /// Without a handler, a SIGHUP ends the process: this comes before anything is ready.
-    fn install() -> Result<Signals, DaemonError> {
-        let terminate = signal(SignalKind::terminate()).map_err(DaemonError::System)?;
-        let hangup = signal(SignalKind::hangup()).map_err(DaemonError::System)?;
-        Ok(Signals { terminate, hangup })
-    }
-}
-
 /// Waits for the journal, serves, and ends or releases the journal.
-async fn run_once(flags: &RunFlags, process: &mut Process) -> Result<RunEnd, DaemonError> {
+async fn run_once(
+    flags: &RunFlags, process: &mut Process, terminate: &mut Terminate, hangup: Signal,
+) -> Result<RunEnd, DaemonError> {
     let config = Config::read(flags)?;
     start_management(&config, process)?;
-    let Signals { mut terminate, hangup } = Signals::install()?;
     let folder = SharedFolder::open(&config.state_dir)?;
-    let owned = ownership::acquire(&config, &folder, process, &mut terminate).await?;
+    let owned = ownership::acquire(&config, &folder, process, terminate).await?;
     let Some(Ownership { lock, request, listener }) = owned else { return Ok(RunEnd::Terminated) };
     let parts = startup::start(flags, &config, &folder, hangup).await?;
     let service = Service::start(&config, parts, process.management.clone(), listener);
     drop(request);
-    service.run(process, &folder, lock, &mut terminate).await
+    service.run(process, &folder, lock, terminate).await
 }
 
 /// Listens for operators before all that may take time: until this process serves, it answers that it is not ready.
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -1,4 +1,5 @@
 //! The wait for the journal: until no other process owns it.
+use super::signals::Terminate;
 use super::standby::Standby;
 use super::{ClientListener, DaemonError, Process};
 use crate::clock;
@@ -7,7 +8,6 @@
 use crate::takeover::{FolderLock, LockName, SharedFolder, TakeoverError};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::Signal;
 use tokio::sync::oneshot;
 
 /// How long an expired request is withdrawn: the process that serves polls meanwhile, and sees that it is.
@@ -59,7 +59,7 @@
 
 /// Waits for the owner's lock; `None` where the process is told to end before that.
 pub(super) async fn acquire(
-    config: &Config, folder: &SharedFolder, process: &mut Process, terminate: &mut Signal,
+    config: &Config, folder: &SharedFolder, process: &mut Process, terminate: &mut Terminate,
 ) -> Result<Option<Ownership>, DaemonError> {
     if let Some(lock) = poll_owner_lock(folder, process)? {
         return owned(config, process, lock, None).map(Some);
--- a/src/daemon/released.rs
+++ b/src/daemon/released.rs
@@ -1,12 +1,12 @@
 //! The time after this process has released the journal: its calls in flight end, and its clients are sent to the successor.
 use super::serving::Service;
+use super::signals::Terminate;
 use super::{Process, RunEnd};
 use crate::client;
 use crate::clock;
 use crate::exchange::{ClientConnections, SHUTDOWN_TIMEOUT};
 use crate::takeover::state::{Action, Observed, POLL_INTERVAL};
 use crate::takeover::{LockName, SharedFolder};
-use tokio::signal::unix::Signal;
 use tokio::time::Instant;
 
 /// Runs until nothing is left of the time as the owner, or the process is told to end and may, or its time is up.
@@ -15,7 +15,7 @@
 /// and where the kernel prefers the successor's listener, this one is there should the successor die.
 pub(super) async fn run(
     service: Service, process: &mut Process, folder: &SharedFolder, told_to_end_at: Option<Instant>,
-    terminate: &mut Signal,
+    terminate: &mut Terminate,
 ) -> RunEnd {
     let mut give_up_at = told_to_end_at.map(|at| at + SHUTDOWN_TIMEOUT);
     loop {
--- a/src/daemon/serving.rs
+++ b/src/daemon/serving.rs
@@ -1,4 +1,5 @@
 //! The time in which this process owns the journal and serves: until it is told to end, or another process takes over.
+use super::signals::Terminate;
 use super::startup::Parts;
 use super::{released, DaemonError, Process, RunEnd};
 use crate::client::{self, ConnectionLimiter};
@@ -11,7 +12,6 @@
 use crate::takeover::{FolderLock, LateOutcomeWriter, LockName, SharedFolder, TakeoverError};
 use std::sync::Arc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::Signal;
 use tokio::task::JoinHandle;
 use tokio::time::{timeout, Instant};
 
@@ -46,7 +46,7 @@
     /// Serves until SIGTERM, or until another process has taken the journal over. SIGTERM does not keep the process from
     /// handing over: clients that come to its successor are served, and those that come to a process that ends are not.
     pub(super) async fn run(
-        self, process: &mut Process, folder: &SharedFolder, owner_lock: FolderLock, terminate: &mut Signal,
+        self, process: &mut Process, folder: &SharedFolder, owner_lock: FolderLock, terminate: &mut Terminate,
     ) -> Result<RunEnd, DaemonError> {
         // Without an address for operators nobody starts a second process, and the locks are not polled.
         let polls_locks = self.management.is_some();
--- a/tests/takeover_order.rs
+++ b/tests/takeover_order.rs
@@ -12,6 +12,8 @@
 
 /// A request that was not used for 1 s has expired; and some time for the looks at the locks.
 const SERVES_AGAIN_WITHIN: Duration = Duration::from_millis(1600);
+/// The soonest that a planned restart kills the process after SIGTERM.
+const KILLED_AFTER: Duration = Duration::from_millis(3700);
 /// Some looks at the locks of each process.
 const LOOKS: Duration = Duration::from_millis(200);
 const CALLERS: [Connections; 2] = [Connections::New, Connections::Kept];
@@ -207,3 +209,29 @@
         assert_eq!(earlier.log().matches("handed over").count(), 1, "{}", earlier.log());
     }
 }
+
+/// SIGTERM in the moment in which a process forgets its time as the owner and waits anew. It was lost there: the handler of
+/// the time before was gone, and the next one was not installed yet, so the process went on until SIGKILL.
+#[test]
+fn sigterm_is_heard_while_a_process_forgets_its_time_as_the_owner() {
+    const DELAYS_MS: std::ops::Range<u64> = 0..24;
+    let ends = DELAYS_MS.map(|delay| {
+        std::thread::spawn(move || {
+            let mut first = start_first();
+            let successor = hold(&first, "next");
+            first.wait_log("handed over");
+            // The successor is gone, and the process sees it within 20 ms.
+            drop(successor);
+            sleep(Duration::from_millis(delay));
+            first.terminate();
+            let asked = Instant::now();
+            while first.runs() && asked.elapsed() < KILLED_AFTER {
+                sleep(Duration::from_millis(10));
+            }
+            (delay, first.runs())
+        })
+    });
+    let ends: Vec<_> = ends.collect::<Vec<_>>().into_iter().map(|end| end.join().expect("a round")).collect();
+    let deaf: Vec<u64> = ends.into_iter().filter(|(_, runs)| *runs).map(|(delay, _)| delay).collect();
+    assert!(deaf.is_empty(), "SIGTERM was lost so many ms after the successor's end: {deaf:?}");
+}
