Takeover: a request for the folder has a name, and a release remembers whose it was for

Cause: the first process leaves its standby when a further process asks its successor, and the second one waits for that. It looks every 20 ms; where it misses the moment between two requests, it takes the third process's for the second's and waits for the end of the lease.

No moment has to be seen. A successor that was stopped asks anew under another name, in place of a pause of 100 ms without a request.

The model has the names.

--- a/crates/lab/tests/takeover/model.rs
+++ b/crates/lab/tests/takeover/model.rs
@@ -1,7 +1,9 @@
 //! The model: two processes with one folder, their polls of the locks, what clients, partners and the disk do, kills and
 //! starts. The state machine is the shipped code (`takeover::state`); a paused process is one that takes no step for a
 //! while.
-use micaladder::takeover::state::{Action, Observed, State, StateMachine, DRAIN_TIMEOUT, REQUEST_LEASE};
+use micaladder::takeover::state::{
+    Action, Observed, RequestId, State, StateMachine, DRAIN_TIMEOUT, REQUEST_LEASE,
+};
 use micaladder::Nanos;
 use stateright::{Model, Property};
 
@@ -117,7 +119,7 @@
     OrderingKeyForgotten,
     /// A journal that cannot be written is released.
     FullJournalReleased,
-    /// A process tries for a journal that another one asks for.
+    /// A process that does not own the journal does not look whether another one asks for it.
     ReleasedJournalTakenBack,
     /// A process accepts messages after its release.
     AcceptsAfterRelease,
@@ -193,15 +195,15 @@
     pub fn poll(&mut self, fault: InjectedFault, p: usize, elapsed: Elapsed) {
         let process = &self.processes[p];
         let now = elapsed.now();
-        let takeover_requested = self.next.is_some_and(|n| n != p);
-        let tries_owner_lock = process.takeover.may_acquire(now, takeover_requested)
-            || (fault == InjectedFault::ReleasedJournalTakenBack
-                && process.takeover.state == State::WaitingForLock);
+        let has_no_part = matches!(process.takeover.state, State::Released | State::WaitingForLock);
+        let looks_away = fault == InjectedFault::ReleasedJournalTakenBack && has_no_part;
+        let request = self.next.filter(|n| *n != p && !looks_away).map(|n| RequestId(n as u64));
+        let tries_owner_lock = process.takeover.may_acquire(now, request);
         let journal_blocked = self.disk_full && fault != InjectedFault::FullJournalReleased;
         let observed = Observed {
             lock_acquired: tries_owner_lock && self.owner.is_none(),
             owned_by_other: self.owner.is_some_and(|owner| owner != p),
-            takeover_requested,
+            request,
             clients_connected: elapsed == Elapsed::Nothing,
             calls_in_flight: process.has_calls_in_flight(),
             release_blocked: process.waits_for_predecessor() || journal_blocked,
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -4,15 +4,11 @@
 use super::{ClientListener, DaemonError, Process};
 use crate::clock;
 use crate::settings::Config;
-use crate::takeover::state::{Observed, POLL_INTERVAL, REQUEST_LEASE, SERVING_POLL_INTERVAL};
+use crate::takeover::state::{Observed, RequestId, POLL_INTERVAL, REQUEST_LEASE};
 use crate::takeover::{FolderLock, LockName, SharedFolder, TakeoverError};
-use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
-/// How long an expired request is withdrawn: the process that serves polls meanwhile, and sees that it is.
-const WITHDRAWAL_TIME: Duration = SERVING_POLL_INTERVAL.saturating_mul(2);
-
 /// The journal is this process's.
 pub(super) struct Ownership {
     /// The owner's lock.
@@ -26,8 +22,8 @@
 
 /// A request for the folder.
 struct Request {
-    /// Held until this process serves; none while an expired request is withdrawn.
-    lock: Option<FolderLock>,
+    /// Held until this process serves.
+    lock: FolderLock,
     /// The owner's lock, once it is free. Waited for in a thread of its own and not polled: until this process listens,
     /// clients are rejected.
     owner_lock: oneshot::Receiver<Result<FolderLock, TakeoverError>>,
@@ -36,7 +32,7 @@
 impl Request {
     /// Asks for the folder; `None` while another process does.
     fn make(folder: &SharedFolder) -> Result<Option<Request>, DaemonError> {
-        let Some(lock) = folder.try_lock(LockName::Next)? else { return Ok(None) };
+        let Some(lock) = folder.request(new_request_id())? else { return Ok(None) };
         let (sender, owner_lock) = oneshot::channel();
         let folder = folder.clone();
         let wait = move || {
@@ -44,19 +40,21 @@
             let _ = sender.send(folder.lock(LockName::Owner));
         };
         std::thread::Builder::new().name("takeover".to_string()).spawn(wait).map_err(DaemonError::System)?;
-        Ok(Some(Request { lock: Some(lock), owner_lock }))
+        Ok(Some(Request { lock, owner_lock }))
     }
 
-    /// Withdraws the request for so long that the process that serves sees it, and asks anew.
-    async fn renew(&mut self, folder: &SharedFolder) -> Result<(), DaemonError> {
+    /// Asks anew, under another name.
+    fn renew(&self, folder: &SharedFolder) -> Result<(), DaemonError> {
         log::warn!("this process was stopped, and its request for the folder may have expired: asking again");
-        self.lock = None;
-        tokio::time::sleep(WITHDRAWAL_TIME).await;
-        self.lock = folder.try_lock(LockName::Next)?;
-        Ok(())
+        Ok(folder.renew_request(&self.lock, new_request_id())?)
     }
 }
 
+/// A name that no other request has: the time, in nanoseconds.
+fn new_request_id() -> RequestId {
+    RequestId(clock::now().0)
+}
+
 /// Waits for the owner's lock; `None` where the process is told to end before that.
 pub(super) async fn acquire(
     config: &Config, folder: &SharedFolder, process: &mut Process, terminate: &mut Terminate,
@@ -82,14 +80,14 @@
                 return Ok(None);
             }
             lock = owner_lock(&mut request) => {
-                let request_lock = request.and_then(|request| request.lock);
+                let request_lock = request.map(|request| request.lock);
                 process.takeover.step(clock::now(), Observed { lock_acquired: true, ..Observed::default() });
                 return owned(config, process, lock?, request_lock).map(Some);
             }
             () = tokio::time::sleep(POLL_INTERVAL) => {}
         }
         match &mut request {
-            Some(request) if clock::now() - polled_at >= REQUEST_LEASE => request.renew(folder).await?,
+            Some(request) if clock::now() - polled_at >= REQUEST_LEASE => request.renew(folder)?,
             Some(_) => {}
             None => {
                 if let Some(lock) = poll_owner_lock(folder, process)? {
@@ -132,16 +130,16 @@
 }
 
 fn observe(folder: &SharedFolder) -> Observed {
-    let takeover_requested = folder.is_locked(LockName::Next);
+    let request = folder.pending_request();
     // Without a request the lock is tried, which tells as much.
-    let owned_by_other = takeover_requested && folder.is_locked(LockName::Owner);
-    Observed { takeover_requested, owned_by_other, ..Observed::default() }
+    let owned_by_other = request.is_some() && folder.is_locked(LockName::Owner);
+    Observed { request, owned_by_other, ..Observed::default() }
 }
 
 /// The owner's lock, if it is free and this process, which does not ask for it, may have it.
 fn poll_owner_lock(folder: &SharedFolder, process: &mut Process) -> Result<Option<FolderLock>, DaemonError> {
     let (now, observed) = (clock::now(), observe(folder));
-    if !process.takeover.may_acquire(now, observed.takeover_requested) {
+    if !process.takeover.may_acquire(now, observed.request) {
         process.takeover.step(now, observed);
         return Ok(None);
     }
--- a/src/daemon/released.rs
+++ b/src/daemon/released.rs
@@ -21,9 +21,13 @@
     loop {
         let observed = observe(&service, folder);
         let action = process.takeover.step(clock::now(), observed);
-        let successor_listens = observed.owned_by_other && !observed.takeover_requested;
+        let successor_listens = observed.owned_by_other && observed.request.is_none();
         let spreads_clients = successor_listens && !process.listener.yields_to_later();
-        if spreads_clients || process.takeover.is_superseded(observed) {
+        if spreads_clients {
+            stop_accepting(&service, process);
+        }
+        if process.standby_lock.is_some() && process.takeover.is_superseded(observed) {
+            log::info!("a further process asks for the folder: no longer on standby");
             stop_accepting(&service, process);
         }
         let may_exit = give_up_at.is_some() && process.takeover.may_exit(observed);
@@ -51,10 +55,10 @@
 
 fn observe(service: &Service, folder: &SharedFolder) -> Observed {
     // In this order: a successor withdraws its request only once it owns the journal and listens.
-    let takeover_requested = folder.is_locked(LockName::Next);
+    let request = folder.pending_request();
     Observed {
         owned_by_other: folder.is_locked(LockName::Owner),
-        takeover_requested,
+        request,
         clients_connected: service.limiter().has_connections(),
         calls_in_flight: service.exchange().calls_in_flight() > 0,
         ..Observed::default()
--- a/src/daemon/serving.rs
+++ b/src/daemon/serving.rs
@@ -93,11 +93,11 @@
     }
 
     fn observe(&self, folder: &SharedFolder) -> Observed {
-        let takeover_requested = folder.is_locked(LockName::Next);
+        let request = folder.pending_request();
         Observed {
             clients_connected: self.limiter().has_connections(),
-            takeover_requested,
-            release_blocked: takeover_requested && self.is_release_blocked(folder),
+            request,
+            release_blocked: request.is_some() && self.is_release_blocked(folder),
             ..Observed::default()
         }
     }
--- a/src/takeover/lock.rs
+++ b/src/takeover/lock.rs
@@ -1,15 +1,19 @@
 //! The lasting folder as two processes share it, and the locks that say which of them does what.
+use super::state::RequestId;
 use super::TakeoverError;
 use std::fs::{File, OpenOptions, TryLockError};
-use std::io;
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
+/// A request without a name, as an earlier version of this program makes it.
+const UNNAMED_REQUEST: RequestId = RequestId(0);
+
 /// The lasting folder, as far as it is part of a takeover.
 #[derive(Clone)]
 pub struct SharedFolder(PathBuf);
 
 /// A lock that this process holds until this is dropped, or the process ends in whatever way.
-pub struct FolderLock(#[allow(dead_code, reason = "the lock lives as long as the open file")] File);
+pub struct FolderLock(File);
 
 /// Which lock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -92,6 +96,40 @@
         Ok(FolderLock(file))
     }
 
+    /// Asks for the folder; `None` while another process does. The request stands until the lock is dropped.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be opened, locked or written.
+    pub fn request(&self, id: RequestId) -> Result<Option<FolderLock>, TakeoverError> {
+        let Some(lock) = self.try_lock(LockName::Next)? else { return Ok(None) };
+        self.renew_request(&lock, id)?;
+        Ok(Some(lock))
+    }
+
+    /// Replaces a request that may have expired.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be written.
+    pub fn renew_request(&self, lock: &FolderLock, id: RequestId) -> Result<(), TakeoverError> {
+        let write = || {
+            lock.0.set_len(0)?;
+            (&lock.0).write_all(id.0.to_string().as_bytes())
+        };
+        let path = self.path_of(LockName::Next.file_name());
+        write().map_err(|source| TakeoverError { path, problem: "cannot be written", source })
+    }
+
+    /// The request of another process.
+    pub fn pending_request(&self) -> Option<RequestId> {
+        if !self.is_locked(LockName::Next) {
+            return None;
+        }
+        let text = std::fs::read_to_string(self.path_of(LockName::Next.file_name())).unwrap_or_default();
+        Some(text.parse().map_or(UNNAMED_REQUEST, RequestId))
+    }
+
     /// Whether another process holds the lock. One whose file does not exist or cannot be opened is held by none.
     pub fn is_locked(&self, name: LockName) -> bool {
         let Ok(file) = File::open(self.path_of(name.file_name())) else { return false };
--- a/src/takeover/state.rs
+++ b/src/takeover/state.rs
@@ -31,6 +31,10 @@
     Released,
 }
 
+/// Which request for the folder: no two have the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RequestId(pub u64);
+
 /// What a process observes of the locks and of itself.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Observed {
@@ -38,8 +42,8 @@
     pub lock_acquired: bool,
     /// Another process holds the owner's lock.
     pub owned_by_other: bool,
-    /// Another process asks to take the folder over, and does not serve yet.
-    pub takeover_requested: bool,
+    /// The request of another process that asks to take the folder over, and does not serve yet.
+    pub request: Option<RequestId>,
     /// Client connections are open.
     pub clients_connected: bool,
     /// Calls to endpoints are in flight.
@@ -72,10 +76,12 @@
     pub state: State,
     /// When it released the journal, until another process is known to have taken it.
     released_at: Option<Nanos>,
+    /// The request that it released the journal for.
+    released_for: Option<RequestId>,
     /// Another process has taken the journal that this one released, and serves.
     successor_serves: bool,
-    /// The request that is pending expired before: it is passed over until it is withdrawn.
-    is_request_expired: bool,
+    /// A request that was not used in time: it is passed over.
+    expired_request: Option<RequestId>,
 }
 
 impl StateMachine {
@@ -84,8 +90,9 @@
         StateMachine {
             state: State::WaitingForLock,
             released_at: None,
+            released_for: None,
             successor_serves: false,
-            is_request_expired: false,
+            expired_request: None,
         }
     }
 
@@ -97,39 +104,44 @@
         }
     }
 
-    /// Whether this process may try for the owner's lock; `takeover_requested` as in [`Observed`]. A process that asks holds
+    /// Whether this process may try for the owner's lock; `request` as in [`Observed`]. A process that asks holds
     /// its request until it serves, so a journal that was released is left to the process that it was released for.
     /// Without this a predecessor, which is the first to find the lock free, takes the journal back from the successor
     /// that asked for it, again and again (issue 48).
-    pub fn may_acquire(&self, now: Nanos, takeover_requested: bool) -> bool {
-        self.state == State::WaitingForLock && (!takeover_requested || self.is_lease_over(now))
+    pub fn may_acquire(&self, now: Nanos, request: Option<RequestId>) -> bool {
+        self.state == State::WaitingForLock && (request.is_none() || self.is_lease_over(now))
     }
 
     /// Whether a further process asks the successor of this one for the folder. This one has no part in it any more.
     pub fn is_superseded(&self, observed: Observed) -> bool {
-        self.successor_serves && observed.owned_by_other && observed.takeover_requested
+        self.successor_serves && observed.owned_by_other && observed.request.is_some()
     }
 
     /// Whether this process, told to end, may do so: its calls have ended, and no successor is about to serve.
     pub fn may_exit(&self, observed: Observed) -> bool {
-        !observed.calls_in_flight && (self.successor_serves || !observed.takeover_requested)
+        !observed.calls_in_flight && (self.successor_serves || observed.request.is_none())
     }
 
     /// Takes what is observed, and returns what is to be done now. Nothing changes between two steps.
     pub fn step(&mut self, now: Nanos, observed: Observed) -> Option<Action> {
-        self.is_request_expired &= observed.takeover_requested;
-        if observed.owned_by_other && (!observed.takeover_requested || self.is_lease_over(now)) {
+        // A successor holds its request until it serves: none, or that of another process, shows that it does.
+        let is_used = observed.request.is_none() || observed.request != self.released_for;
+        if observed.owned_by_other && (is_used || self.is_lease_over(now)) {
             self.released_at = None;
             self.successor_serves = true;
         }
         let (next, action) = self.transition(now, observed)?;
         self.state = next;
         match action {
-            Action::Release => self.released_at = Some(now),
+            Action::Release => {
+                self.released_at = Some(now);
+                self.released_for = observed.request;
+            }
             Action::StartServing => {
                 self.released_at = None;
                 self.successor_serves = false;
-                self.is_request_expired = observed.takeover_requested;
+                self.released_for = None;
+                self.expired_request = observed.request;
             }
             Action::Drain | Action::Resume | Action::Reset => {}
         }
@@ -141,7 +153,7 @@
     }
 
     fn transition(&self, now: Nanos, observed: Observed) -> Option<(State, Action)> {
-        let is_requested = observed.takeover_requested && !self.is_request_expired;
+        let is_requested = observed.request.is_some() && observed.request != self.expired_request;
         // Guards what is owed: a journal that cannot be written is not handed to another process.
         let may_release = is_requested && !observed.release_blocked;
         match self.state {
@@ -162,7 +174,7 @@
     fn is_over(&self, now: Nanos, observed: Observed) -> bool {
         let may_go_on = match observed.owned_by_other {
             true => !observed.clients_connected,
-            false => !observed.takeover_requested || self.is_lease_over(now),
+            false => observed.request.is_none() || self.is_lease_over(now),
         };
         !observed.calls_in_flight && may_go_on
     }
--- a/tests/callers/mod.rs
+++ b/tests/callers/mod.rs
@@ -82,13 +82,48 @@
     threads: Vec<JoinHandle<Vec<Call>>>,
 }
 
+/// What a caller calls, and how.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerKind {
+    pub class: &'static str,
+    pub connections: Connections,
+    /// All its messages have this ordering key.
+    pub key: Option<&'static str>,
+}
+
+/// Whether callers may open connections. Those that may not wait, and go on using the ones they have.
+#[derive(Clone, Default)]
+pub struct ConnectGate(Arc<AtomicBool>);
+
+impl ConnectGate {
+    pub fn close(&self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+
+    pub fn open(&self) {
+        self.0.store(false, Ordering::SeqCst);
+    }
+
+    fn is_open(&self) -> bool {
+        !self.0.load(Ordering::SeqCst)
+    }
+}
+
 impl Callers {
-    /// One caller for each of these. Calls of caller 2 have the ids `c2-0`, `c2-1` and so on.
+    /// One caller of this class for each of these. Calls of caller 2 have the ids `c2-0`, `c2-1` and so on.
     pub fn start(addr: SocketAddr, class: &'static str, connections: &[Connections]) -> Callers {
+        let kind = |connections: &Connections| CallerKind { class, connections: *connections, key: None };
+        let kinds: Vec<CallerKind> = connections.iter().map(kind).collect();
+        Callers::start_kinds(addr, &kinds, &ConnectGate::default())
+    }
+
+    /// One caller for each of these.
+    pub fn start_kinds(addr: SocketAddr, kinds: &[CallerKind], gate: &ConnectGate) -> Callers {
         let stop = Arc::new(AtomicBool::new(false));
-        let threads = connections.iter().enumerate().map(|(number, connections)| {
-            let (stop, connections) = (stop.clone(), *connections);
-            thread::spawn(move || Caller { addr, class, number, connections, kept: None }.run(&stop))
+        let threads = kinds.iter().enumerate().map(|(number, kind)| {
+            let caller = Caller { addr, kind: *kind, number, gate: gate.clone(), kept: None };
+            let stop = stop.clone();
+            thread::spawn(move || caller.run(&stop))
         });
         Callers { threads: threads.collect(), stop }
     }
@@ -105,9 +140,9 @@
 
 struct Caller {
     addr: SocketAddr,
-    class: &'static str,
+    kind: CallerKind,
     number: usize,
-    connections: Connections,
+    gate: ConnectGate,
     kept: Option<TcpStream>,
 }
 
@@ -115,26 +150,31 @@
     fn run(mut self, stop: &AtomicBool) -> Vec<Call> {
         let mut calls = Vec::new();
         while !stop.load(Ordering::Relaxed) {
-            let id = format!("c{}-{}", self.number, calls.len());
-            calls.push(self.call(id));
+            self.kept = self.kept.take().filter(is_open);
+            if self.kept.is_some() || self.gate.is_open() {
+                let id = format!("c{}-{}", self.number, calls.len());
+                calls.push(self.call(id));
+            }
             thread::sleep(PAUSE);
         }
         calls
     }
 
     fn call(&mut self, id: String) -> Call {
-        let kept = self.kept.take().filter(is_open);
+        let kept = self.kept.take();
         let reused = kept.is_some();
         let socket = match kept {
             Some(socket) => Ok(socket),
             None => TcpStream::connect_timeout(&self.addr, CALL_TIMEOUT),
         };
         let connected_at = unix_time();
+        let key = self.kind.key.map(|key| format!("X-Key: {key}\r\n")).unwrap_or_default();
+        let request = message(self.kind.class, &id, "20000m", &key);
         let (end, socket) = match socket {
-            Ok(mut socket) => (exchange(&mut socket, &message(self.class, &id, "20000m", "")), Some(socket)),
+            Ok(mut socket) => (exchange(&mut socket, &request), Some(socket)),
             Err(error) => (end_of(&error), None),
         };
-        if self.connections == Connections::Kept {
+        if self.kind.connections == Connections::Kept {
             self.kept = socket.filter(|_| matches!(end, Exchanged { keep: true, .. }));
         }
         Call { id, reused, connected_at, ended_at: unix_time(), end: end.end }
--- /dev/null
+++ b/tests/soak/checks.rs
@@ -0,0 +1,151 @@
+//! What holds of a run, seen from outside.
+use crate::callers::{timeline, Call, End};
+use crate::stand::{HttpMessage, Server};
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// A client of the platform waits so long for its answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// All messages have ended by then; none has to be tried for longer here.
+const DELIVERED_WITHIN: Duration = Duration::from_secs(8);
+/// The times in a log are full milliseconds.
+const LOG_RESOLUTION: Duration = Duration::from_millis(1);
+
+/// A process was killed while it owned the folder: what was on its connections died with it.
+#[derive(Clone, Debug)]
+pub struct Outage {
+    pub listened_at: Duration,
+    pub killed: RangeInclusive<Duration>,
+}
+
+impl Outage {
+    fn took_along(&self, call: &Call) -> bool {
+        let is_cut = matches!(call.end, End::Reset | End::Closed);
+        let was_its =
+            call.connected_at + LOG_RESOLUTION >= self.listened_at && call.connected_at <= *self.killed.end();
+        is_cut && was_its && call.ended_at >= *self.killed.start()
+    }
+}
+
+/// The time of the first line of a log with this text.
+pub fn logged_at(log: &str, text: &str) -> Option<Duration> {
+    let line = log.lines().find(|line| line.contains(text))?;
+    let seconds: f64 = line.split(' ').next()?.parse().expect("a time");
+    Some(Duration::from_secs_f64(seconds))
+}
+
+/// All that was seen of a run.
+pub struct Seen<'a> {
+    pub calls: &'a [Call],
+    pub outages: &'a [Outage],
+    pub endpoint: &'a Server,
+    pub discovery: &'a Server,
+}
+
+impl Seen<'_> {
+    fn died_with_a_process(&self, call: &Call) -> bool {
+        self.outages.iter().any(|outage| outage.took_along(call))
+    }
+
+    pub fn summary(&self) -> String {
+        let count = |fits: &dyn Fn(&Call) -> bool| self.calls.iter().filter(|call| fits(call)).count();
+        format!(
+            "{} calls, {} turned away, {} died with a killed process, {} crossed a close",
+            self.calls.len(),
+            count(&|call| matches!(call.end, End::Answered { status: 503, .. })),
+            count(&|call| self.died_with_a_process(call)),
+            count(&|call| call.crossed_a_close() && !self.died_with_a_process(call)),
+        )
+    }
+}
+
+/// What is wrong, a text each.
+pub fn check(seen: &Seen) -> Vec<String> {
+    let mut problems = Vec::new();
+    let mut add = |what: &str, calls: Vec<&Call>| {
+        if !calls.is_empty() {
+            problems.push(format!("{what}:\n{}", timeline(calls)));
+        }
+    };
+    let excused = |call: &Call| seen.died_with_a_process(call) || call.crossed_a_close();
+    let unanswered = seen.calls.iter().filter(|call| !call.is_settled() && !excused(call));
+    add("without an answer", unanswered.collect());
+    let late = |call: &&Call| {
+        call.is_settled() && call.ended_at - call.connected_at > ANSWER_TIMEOUT && !call.reused
+    };
+    add("answered after the client's 400 ms", seen.calls.iter().filter(late).collect());
+    let accepted: Vec<&Call> = seen.calls.iter().filter(|call| is_accepted(call)).collect();
+    add("taken on, and never ended", never_ended(seen, &accepted));
+    let runs = runs(&seen.endpoint.received());
+    let ran = |call: &&Call| runs.contains_key(&call.id);
+    let rejected = seen.calls.iter().filter(|call| matches!(call.end, End::Answered { status: 503, .. }));
+    add("turned away, and run", rejected.filter(ran).collect());
+    let crossed = seen.calls.iter().filter(|call| call.crossed_a_close() && !seen.died_with_a_process(call));
+    add("closed on as not read, and run", crossed.filter(ran).collect());
+    problems.extend(ran_twice(&seen.endpoint.received()));
+    problems.extend(out_of_order(&seen.endpoint.received(), &accepted));
+    problems
+}
+
+fn is_accepted(call: &Call) -> bool {
+    matches!(call.end, End::Answered { status: 200 | 202, .. })
+}
+
+/// How often each message was heard.
+fn runs(heard: &[HttpMessage]) -> BTreeMap<String, usize> {
+    let mut runs = BTreeMap::new();
+    for message in heard {
+        *runs.entry(message.id().to_string()).or_default() += 1;
+    }
+    runs
+}
+
+/// Of these, the ones that neither ran nor had a callback with another end.
+fn never_ended<'a>(seen: &Seen, accepted: &[&'a Call]) -> Vec<&'a Call> {
+    let begun = Instant::now();
+    loop {
+        let runs = runs(&seen.endpoint.received());
+        let callbacks: String = seen.discovery.received().iter().map(HttpMessage::text).collect();
+        let has_ended = |id: &str| runs.contains_key(id) || callbacks.contains(&format!(r#""id":"{id}""#));
+        let open: Vec<&Call> = accepted.iter().copied().filter(|call| !has_ended(&call.id)).collect();
+        if open.is_empty() || begun.elapsed() > DELIVERED_WITHIN {
+            return open;
+        }
+        sleep(Duration::from_millis(100));
+    }
+}
+
+/// Payouts are heard once at most: the endpoint has answered each of them with a delivery.
+fn ran_twice(heard: &[HttpMessage]) -> Vec<String> {
+    let payouts: Vec<HttpMessage> =
+        heard.iter().filter(|message| message.text().is_empty() || message.id() != "").cloned().collect();
+    let is_payout =
+        |id: &str| id.starts_with("c0-") || id.starts_with("c1-") || id.starts_with("before-kill");
+    runs(&payouts)
+        .into_iter()
+        .filter(|(id, count)| is_payout(id) && *count > 1)
+        .map(|(id, count)| format!("payout {id} ran {count} times"))
+        .collect()
+}
+
+/// Messages of one key are first heard in the order in which they were taken on.
+fn out_of_order(heard: &[HttpMessage], accepted: &[&Call]) -> Vec<String> {
+    let accepted: BTreeSet<&str> = accepted.iter().map(|call| call.id.as_str()).collect();
+    let mut problems = Vec::new();
+    for caller in ["c4-", "c5-"] {
+        let mut latest = 0;
+        let mut known = BTreeSet::new();
+        for id in
+            heard.iter().map(HttpMessage::id).filter(|id| id.starts_with(caller) && accepted.contains(id))
+        {
+            let number: usize = id[caller.len()..].parse().expect("a number");
+            if known.insert(number) && number < latest {
+                problems.push(format!("{id} was first heard after {caller}{latest}"));
+            }
+            latest = latest.max(number);
+        }
+    }
+    problems
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -417,6 +417,31 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
     }
 
+    /// What the descriptors of the process are.
+    pub fn descriptors(&self) -> Vec<String> {
+        let all = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs");
+        let mut all: Vec<String> = all
+            .filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok())
+            .map(|target| target.display().to_string())
+            .collect();
+        all.sort();
+        all
+    }
+
+    /// Connections at its clients' address that the process holds: established, or closed by the client alone.
+    pub fn client_connections(&self) -> usize {
+        const STATES: [&str; 2] = ["01", "08"];
+        let IpAddr::V4(ip) = self.addr.ip() else { panic!("the stand's addresses are IPv4") };
+        let local = format!("{:08X}:{:04X}", u32::from_le_bytes(ip.octets()), self.addr.port());
+        let own = self.descriptors();
+        let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the sockets");
+        let fields = sockets.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+        fields
+            .filter(|fields| fields.get(1) == Some(&local.as_str()) && STATES.contains(&fields[3]))
+            .filter(|fields| own.contains(&format!("socket:[{}]", fields[9])))
+            .count()
+    }
+
     /// Bytes of memory that the process holds itself: not its program text, nor files.
     pub fn memory(&self) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
