A seeded soak of several processes of one forwarder, with callers beside them

Real processes on loopback; five operations a run, drawn from the seed: SIGHUP; a takeover, one or two in a row, and then SIGTERM to the earlier ones; a successor killed or told to end 0 to 250 ms after its start; SIGTERM to the first while a second starts; SIGHUP, SIGTERM, SIGTERM with no second beside; SIGKILL right behind a 202. Six callers (once, repeatable, keyed; new and kept connections) go on using what is open until a process is gone; SIGKILL comes 3.7 s after SIGTERM. Crowds: none, idle clients beyond the share of the descriptors, clients that open and leave, one that sends in pieces.

Checked from outside: each request has a whole answer within the client's 400 ms; what was taken on ends within its time; what was turned away or closed on unread never runs; no payout runs twice; keyed order; ready within 6 s, gone within 3.7 s; no client connection and no file left.

--- a/tests/callers/mod.rs
+++ b/tests/callers/mod.rs
@@ -1,5 +1,7 @@
 //! Callers of a forwarder while its processes change: each call and how it ended, as seen from outside.
 #![allow(dead_code)]
+pub mod processes;
+
 use crate::stand::message;
 use std::fmt;
 use std::io::{ErrorKind, Read, Write};
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -1,52 +1,26 @@
 //! What holds of a run, seen from outside.
+use crate::callers::processes::KilledOwner;
 use crate::callers::{timeline, Call, End};
 use crate::stand::{HttpMessage, Server};
 use std::collections::{BTreeMap, BTreeSet};
-use std::ops::RangeInclusive;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 /// A client of the platform waits so long for its answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
-/// All messages have ended by then; none has to be tried for longer here.
-const DELIVERED_WITHIN: Duration = Duration::from_secs(8);
-/// The times in a log are full milliseconds.
-const LOG_RESOLUTION: Duration = Duration::from_millis(1);
-
-/// A process was killed while it owned the folder: what was on its connections died with it.
-#[derive(Clone, Debug)]
-pub struct Outage {
-    pub listened_at: Duration,
-    pub killed: RangeInclusive<Duration>,
-}
-
-impl Outage {
-    fn took_along(&self, call: &Call) -> bool {
-        let is_cut = matches!(call.end, End::Reset | End::Closed);
-        let was_its =
-            call.connected_at + LOG_RESOLUTION >= self.listened_at && call.connected_at <= *self.killed.end();
-        is_cut && was_its && call.ended_at >= *self.killed.start()
-    }
-}
-
-/// The time of the first line of a log with this text.
-pub fn logged_at(log: &str, text: &str) -> Option<Duration> {
-    let line = log.lines().find(|line| line.contains(text))?;
-    let seconds: f64 = line.split(' ').next()?.parse().expect("a time");
-    Some(Duration::from_secs_f64(seconds))
-}
-
+/// A message has ended half a second after its time at the latest; callers give theirs 20 s.
+const DELIVERED_WITHIN: Duration = Duration::from_millis(20_500);
 /// All that was seen of a run.
 pub struct Seen<'a> {
     pub calls: &'a [Call],
-    pub outages: &'a [Outage],
+    pub killed_owners: &'a [KilledOwner],
     pub endpoint: &'a Server,
     pub discovery: &'a Server,
 }
 
 impl Seen<'_> {
     fn died_with_a_process(&self, call: &Call) -> bool {
-        self.outages.iter().any(|outage| outage.took_along(call))
+        self.killed_owners.iter().any(|owner| owner.took_along(call))
     }
 
     pub fn summary(&self) -> String {
@@ -72,9 +46,7 @@
     let excused = |call: &Call| seen.died_with_a_process(call) || call.crossed_a_close();
     let unanswered = seen.calls.iter().filter(|call| !call.is_settled() && !excused(call));
     add("without an answer", unanswered.collect());
-    let late = |call: &&Call| {
-        call.is_settled() && call.ended_at - call.connected_at > ANSWER_TIMEOUT && !call.reused
-    };
+    let late = |call: &&Call| call.is_settled() && call.ended_at - call.connected_at > ANSWER_TIMEOUT;
     add("answered after the client's 400 ms", seen.calls.iter().filter(late).collect());
     let accepted: Vec<&Call> = seen.calls.iter().filter(|call| is_accepted(call)).collect();
     add("taken on, and never ended", never_ended(seen, &accepted));
@@ -119,15 +91,9 @@
 
 /// Payouts are heard once at most: the endpoint has answered each of them with a delivery.
 fn ran_twice(heard: &[HttpMessage]) -> Vec<String> {
-    let payouts: Vec<HttpMessage> =
-        heard.iter().filter(|message| message.text().is_empty() || message.id() != "").cloned().collect();
-    let is_payout =
-        |id: &str| id.starts_with("c0-") || id.starts_with("c1-") || id.starts_with("before-kill");
-    runs(&payouts)
-        .into_iter()
-        .filter(|(id, count)| is_payout(id) && *count > 1)
-        .map(|(id, count)| format!("payout {id} ran {count} times"))
-        .collect()
+    let is_payout = |id: &str| ["c0-", "c1-", "before-kill-"].iter().any(|prefix| id.starts_with(prefix));
+    let twice = runs(heard).into_iter().filter(|(id, count)| is_payout(id) && *count > 1);
+    twice.map(|(id, count)| format!("payout {id} ran {count} times")).collect()
 }
 
 /// Messages of one key are first heard in the order in which they were taken on.
--- a/tests/soak/crowd.rs
+++ b/tests/soak/crowd.rs
@@ -19,7 +19,8 @@
     InPieces,
 }
 
-const IDLE_CLIENTS: usize = 120;
+/// More than a third of the descriptors of a process, which is what it has for clients.
+const IDLE_CLIENTS: usize = 140;
 const PAUSE: Duration = Duration::from_millis(20);
 /// Between two pieces; four of them are sent within the 2.2 s that a request's head may take.
 const PIECE_PAUSE: Duration = Duration::from_millis(60);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,5 +1,13 @@
 //! A soak with real processes: seeded operations on the processes of one forwarder, while clients keep using their
-//! connections until a process is gone. Everything is checked from outside.
+//! connections until a process is gone. Everything is checked from outside: every request has one whole answer in time, no
+//! message that was taken on is lost, none that was turned away runs, no payout runs twice, the order by key is kept, a process
+//! serves and ends within its bounds, and no connection or file is left behind.
+//!
+//! What may have no answer: a request on a connection of a process that was killed while it owned the folder (by the times of
+//! its listener, of the kill and of the connect), and one on a reused connection whose close crossed it (the protocol has
+//! the client send it again); the latter must not have run.
+//!
+//! Found with it: a third process that was let in only after the lease of a second (docs/incidents, takeover livelock).
 //!
 //! `SOAK_FROM` and `SOAK_SEEDS` say which seeds are played. A seed that fails prints the command that plays it again, what was
 //! done when, and the calls that are at fault.
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -1,6 +1,7 @@
 //! One run: a forwarder whose processes come and go, its callers, its endpoint and its platform.
+use crate::callers::processes::{start_second, KilledOwner};
 use crate::callers::{unix_time, CallerKind, Callers, ConnectGate, Connections};
-use crate::checks::{self, Outage, Seen};
+use crate::checks::{self, Seen};
 use crate::crowd::{Crowd, CrowdKind};
 use crate::operations::{self, Operation};
 use crate::stand::*;
@@ -44,13 +45,12 @@
 /// The processes of the forwarder, and what was done to them.
 pub struct World {
     seed: u64,
-    random: StdRng,
     endpoint: Server,
     discovery: Server,
     /// Each process so far; the last one serves, or is about to.
     processes: Vec<Daemon>,
     gate: ConnectGate,
-    outages: Vec<Outage>,
+    killed_owners: Vec<KilledOwner>,
     diary: String,
     problems: Vec<String>,
 }
@@ -61,7 +61,7 @@
     let kinds = [CrowdKind::None, CrowdKind::Idle, CrowdKind::Leaving, CrowdKind::InPieces];
     let crowd = kinds[random.random_range(0..kinds.len())];
     let operations = operations::draw(&mut random);
-    let mut world = World::start(seed, random);
+    let mut world = World::start(seed);
     let files = count_files(world.current());
     let callers = Callers::start_kinds(world.current().addr, &CALLERS, &world.gate);
     let crowd_at_work = Crowd::start(crowd, world.current().addr);
@@ -76,7 +76,7 @@
     world.check_descriptors(files);
     let seen = Seen {
         calls: &calls,
-        outages: &world.outages,
+        killed_owners: &world.killed_owners,
         endpoint: &world.endpoint,
         discovery: &world.discovery,
     };
@@ -96,7 +96,7 @@
 }
 
 impl World {
-    fn start(seed: u64, random: StdRng) -> World {
+    fn start(seed: u64) -> World {
         let endpoint = endpoint();
         let known = list(1, &[(7, endpoint.addr)]);
         let discovery = discovery(known.clone());
@@ -104,9 +104,9 @@
         let base = setup(&discovery, known);
         let setup = Setup { env, max_pending: 1000, sockets: SOCKETS, ..base };
         let first = setup.start();
-        let (gate, outages) = (ConnectGate::default(), Vec::new());
+        let (gate, killed_owners) = (ConnectGate::default(), Vec::new());
         let (diary, problems) = (String::new(), Vec::new());
-        World { seed, random, endpoint, discovery, processes: vec![first], gate, outages, diary, problems }
+        World { seed, endpoint, discovery, processes: vec![first], gate, killed_owners, diary, problems }
     }
 
     fn current(&mut self) -> &mut Daemon {
@@ -123,7 +123,7 @@
     }
 
     fn start_second(&mut self) -> Daemon {
-        self.current().start_beside("RELAY_MGMT", &free_address().to_string())
+        start_second(self.current())
     }
 
     fn carry_out(&mut self, operation: Operation) {
@@ -238,10 +238,12 @@
     }
 
     fn kill(&mut self) {
-        let id = format!("before-kill-{}", self.random.random_range(0..1_000_000));
-        let status = self.current().submit("payout", &id);
-        if status != 202 {
-            self.problem(&format!("{id} was answered {status}"));
+        // Under this load a message may be turned away.
+        let processes = self.processes.len();
+        for number in 0.. {
+            if self.current().submit("payout", &format!("before-kill-{processes}-{number}")) == 202 {
+                break;
+            }
         }
         self.gate.close();
         let mut process = self.processes.pop().expect("one runs");
@@ -264,8 +266,7 @@
         self.note(&format!("SIGKILL to {which}"));
         // Its log is read to the end by another thread.
         sleep(Duration::from_millis(20));
-        let listened_at = checks::logged_at(&process.log(), "owner of the folder");
-        self.outages.extend(listened_at.map(|listened_at| Outage { listened_at, killed: from..=to }));
+        self.killed_owners.extend(KilledOwner::of(&process.log(), from..=to));
     }
 
     /// A process that is gone goes before the one that serves.
--- a/tests/takeover_order.rs
+++ b/tests/takeover_order.rs
@@ -3,6 +3,7 @@
 //! was seen, is told in `tests/takeover_rounds.rs`.
 mod callers;
 mod stand;
+use callers::processes::{start_first, start_first_with, start_second};
 use callers::{timeline, Call, Callers, Connections};
 use stand::*;
 use std::fs::File;
@@ -18,17 +19,6 @@
 const LOOKS: Duration = Duration::from_millis(200);
 const CALLERS: [Connections; 2] = [Connections::New, Connections::Kept];
 
-fn start_first() -> Daemon {
-    let endpoint = Server::always("200 OK");
-    let known = list(1, &[(7, endpoint.addr)]);
-    let env = vec![("RELAY_MGMT".to_string(), free_address().to_string())];
-    Setup { env, max_pending: 1000, ..setup(&discovery(known.clone()), known) }.start()
-}
-
-fn start_second(first: &Daemon) -> Daemon {
-    first.start_beside("RELAY_MGMT", &free_address().to_string())
-}
-
 /// Holds one of the locks of the folder, as another process would.
 fn hold(daemon: &Daemon, name: &str) -> File {
     let path = daemon.folder.join("state").join(name);
@@ -235,3 +225,28 @@
     let deaf: Vec<u64> = ends.into_iter().filter(|(_, runs)| *runs).map(|(delay, _)| delay).collect();
     assert!(deaf.is_empty(), "SIGTERM was lost so many ms after the successor's end: {deaf:?}");
 }
+
+/// Known red (KNOWN-RED.txt). A process that has released the folder forgets its time as the owner, and may take the folder
+/// again, only once its last call has ended. Where a call hangs and the successor dies, callers are turned away until
+/// then: `handed over; ending the calls that are out calls=1` in the log, and `ready` only when the call has ended. Before
+/// 879e520 they were refused. A mend has to let the calls of the time before end beside the new one, as those of another
+/// process do.
+#[test]
+fn a_predecessor_with_a_call_out_serves_again_once_its_successor_is_gone() {
+    const CALL: Duration = Duration::from_secs(10);
+    /// What a second process has on the page of upgrades.
+    const SERVES_WITHIN: Duration = Duration::from_secs(6);
+    let endpoint = Server::start(|heard, _| {
+        if heard.id() == "slow" {
+            sleep(CALL);
+        }
+        say("200 OK", "", "")
+    });
+    let first = start_first_with(&endpoint);
+    assert_eq!(first.submit("payout", "slow"), 202);
+    endpoint.wait_request("slow");
+    let successor = hold(&first, "next");
+    first.wait_log("handed over");
+    drop(successor);
+    wait_accepted(&first, SERVES_WITHIN);
+}
--- a/tests/takeover_rounds.rs
+++ b/tests/takeover_rounds.rs
@@ -14,11 +14,11 @@
 //! `TAKEOVER_ROUNDS` says how many rounds a test plays, `TAKEOVER_SEED` from which seed.
 mod callers;
 mod stand;
+use callers::processes::{start_first, start_second, KilledOwner};
 use callers::{timeline, unix_time, Call, Callers, Connections, End};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use stand::*;
-use std::ops::RangeInclusive;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -27,7 +27,6 @@
 const DEFAULT_ROUNDS: usize = 10;
 /// A second process is killed so long after its start.
 const KILL_AFTER_MS: std::ops::Range<u64> = 5..250;
-const LOG_RESOLUTION: Duration = Duration::from_millis(1);
 const CALLERS: [Connections; 4] = [Connections::New, Connections::Kept, Connections::New, Connections::Kept];
 
 fn from_environment(name: &str, default: usize) -> usize {
@@ -38,18 +37,6 @@
     from_environment("TAKEOVER_ROUNDS", DEFAULT_ROUNDS)
 }
 
-/// A forwarder with a management address, whose only endpoint answers each call at once.
-fn start_first() -> Daemon {
-    let endpoint = Server::always("200 OK");
-    let known = list(1, &[(7, endpoint.addr)]);
-    let env = vec![("RELAY_MGMT".to_string(), free_address().to_string())];
-    Setup { env, max_pending: 1000, ..setup(&discovery(known.clone()), known) }.start()
-}
-
-fn start_second(first: &Daemon) -> Daemon {
-    first.start_beside("RELAY_MGMT", &free_address().to_string())
-}
-
 /// Starts a second process beside this one, waits until it serves, and ends the first one. Returns the second process and
 /// the time until it served.
 fn take_over(first: &mut Daemon) -> (Daemon, Duration) {
@@ -85,7 +72,7 @@
 
 /// Every call has its answer, apart from those that died with a process that was killed, and those on a connection that had
 /// carried a call before and whose close crossed them (protocol, "Clients to forwarders").
-fn check_calls(calls: &[Call], kills: &[Killed]) {
+fn check_calls(calls: &[Call], kills: &[KilledOwner]) {
     let is_settled = |call: &&Call| call.is_settled();
     let (settled, rest): (Vec<&Call>, Vec<&Call>) = calls.iter().partition(is_settled);
     let (killed, rest): (Vec<&Call>, Vec<&Call>) =
@@ -119,33 +106,8 @@
     check_calls(&callers.stop(), &[]);
 }
 
-/// A second process that ran, and when it was killed.
-#[derive(Debug)]
-struct Killed {
-    /// Since when it owned the folder and listened; `None`: it never did.
-    listened_at: Option<Duration>,
-    /// The kill was asked for, and the process was gone.
-    killed: RangeInclusive<Duration>,
-}
-
-impl Killed {
-    /// Whether this call went to the process that was killed while it served: its connection died with it, as in any
-    /// kill, and no other process has it.
-    fn took_along(&self, call: &Call) -> bool {
-        let is_cut = matches!(call.end, End::Reset | End::Closed);
-        let listened = self.listened_at.is_some_and(|at| call.connected_at + LOG_RESOLUTION >= at);
-        is_cut && listened && call.connected_at <= *self.killed.end() && call.ended_at >= *self.killed.start()
-    }
-}
-
-/// The time of the first line of a log with this text.
-fn logged_at(log: &str, text: &str) -> Option<Duration> {
-    let line = log.lines().find(|line| line.contains(text))?;
-    let seconds: f64 = line.split(' ').next()?.parse().expect("a time");
-    Some(Duration::from_secs_f64(seconds))
-}
-
-fn kill_second(first: &Daemon, after: Duration) -> Killed {
+/// Starts a second process and kills it so much later.
+fn kill_second(first: &Daemon, after: Duration) -> Option<KilledOwner> {
     let mut second = start_second(first);
     sleep(after);
     let kill_asked_at = unix_time();
@@ -153,9 +115,9 @@
     let killed = kill_asked_at..=unix_time();
     // Its log is read to the end by another thread.
     sleep(Duration::from_millis(20));
-    let listened_at = logged_at(&second.log(), "owner of the folder");
+    let owner = KilledOwner::of(&second.log(), killed);
     std::mem::forget(second);
-    Killed { listened_at, killed }
+    owner
 }
 
 /// Waits until the first process takes messages on.
@@ -180,13 +142,12 @@
     let mut random = StdRng::seed_from_u64(seed);
     let first = start_first();
     let callers = Callers::start(first.addr, "stats", &CALLERS);
-    let mut kills = Vec::new();
+    let mut owners = Vec::new();
     for round in 0..rounds() {
         let after = Duration::from_millis(random.random_range(KILL_AFTER_MS));
-        kills.push(kill_second(&first, after));
+        owners.extend(kill_second(&first, after));
         wait_serving(&first, round);
     }
-    let owners = kills.iter().filter(|kill| kill.listened_at.is_some()).count();
-    println!("{} kills, {owners} of them of a process that owned the folder", kills.len());
-    check_calls(&callers.stop(), &kills);
+    println!("{} kills, {} of them of a process that owned the folder", rounds(), owners.len());
+    check_calls(&callers.stop(), &owners);
 }
