Takeover: whoever arrived before the release is answered by the owner, and comes again to a listener

What callers saw: on a busy machine all clients of a process that hands over were turned away at once.

Mend: before the last step the runtime has as many turns as a request takes from the accept queue to its command; the owner's lock is dropped with the release, inside the exchange's task; the step's answers are held back until another process owns the folder, 50 ms at the most; the thread that waits for the lock opens the listener itself, with no way through the event loop.

It holds since nothing that has arrived is left out of the last step, and nobody who is answered by it can come back before there is a listener. What arrives of itself in the moment between the two is turned away with Retry-After, as before.

--- a/src/client/listener.rs
+++ b/src/client/listener.rs
@@ -2,13 +2,14 @@
 use nix::libc::{sock_filter, sock_fprog, BPF_K, BPF_RET};
 use nix::sys::socket::setsockopt;
 use nix::sys::socket::sockopt::AttachReusePortCbpf;
+use socket2::{Domain, Socket, Type};
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdTcpListener};
 use std::os::fd::AsFd;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 
 /// Connections that the kernel queues before they are accepted; the standard library's value.
-const BACKLOG: u32 = 1024;
+const BACKLOG: i32 = 1024;
 /// Of two listeners that share an address, the place of the one that began to listen later.
 const LATER_LISTENER: u32 = 1;
 
@@ -19,17 +20,23 @@
 /// The address is in use or is not an address of this machine.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = new_socket(address)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+    TcpListener::from_std(listen_on(socket, address)?)
 }
 
-fn new_socket(address: SocketAddr) -> io::Result<TcpSocket> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+fn new_socket(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
     // Connections of an earlier process may still wait for their end (TIME_WAIT).
-    socket.set_reuseaddr(true)?;
+    socket.set_reuse_address(true)?;
     Ok(socket)
 }
 
+fn listen_on(socket: Socket, address: SocketAddr) -> io::Result<StdTcpListener> {
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
 /// A listener at an address where one other process of this user may listen as well (`SO_REUSEPORT`): the predecessor or
 /// the successor of this one.
 pub struct SharedListener {
@@ -38,7 +45,7 @@
 }
 
 impl SharedListener {
-    /// Begins to listen. From then on the kernel gives this process the new connections, and another one that listens
+    /// Begins to listen; needs no runtime. From then on the kernel gives this process the new connections, and another one that listens
     /// there only gets them once this one has closed its listener or has ended.
     ///
     /// # Errors
@@ -46,9 +53,8 @@
     /// The address is in use by a listener that is not shared, or is not an address of this machine.
     pub fn open(address: SocketAddr) -> io::Result<SharedListener> {
         let socket = new_socket(address)?;
-        socket.set_reuseport(true)?;
-        socket.bind(address)?;
-        let listener = socket.listen(BACKLOG)?.into_std()?;
+        socket.set_reuse_port(true)?;
+        let listener = listen_on(socket, address)?;
         let yields_to_later = match prefer_later_listener(&listener) {
             Ok(()) => true,
             Err(error) => {
--- a/src/daemon/listener.rs
+++ b/src/daemon/listener.rs
@@ -23,6 +23,11 @@
         handle.map_err(DaemonError::ClientAddress)
     }
 
+    /// Takes a listener that was opened elsewhere.
+    pub(super) fn set(&mut self, listener: SharedListener) {
+        self.0 = Some(listener);
+    }
+
     /// The listener, where it is shared and open.
     pub(super) fn shared(&self) -> Option<&SharedListener> {
         self.0.as_ref()
--- a/src/daemon/ownership.rs
+++ b/src/daemon/ownership.rs
@@ -2,10 +2,12 @@
 use super::signals::Terminate;
 use super::standby::Standby;
 use super::{ClientListener, DaemonError, Process};
+use crate::client::SharedListener;
 use crate::clock;
 use crate::settings::Config;
 use crate::takeover::state::{Observed, RequestId, POLL_INTERVAL, REQUEST_LEASE};
-use crate::takeover::{FolderLock, LockName, SharedFolder, TakeoverError};
+use crate::takeover::{FolderLock, LockName, SharedFolder};
+use std::net::SocketAddr;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
@@ -24,23 +26,38 @@
 struct Request {
     /// Held until this process serves.
     lock: FolderLock,
-    /// The owner's lock, once it is free. Waited for in a thread of its own and not polled: until this process listens,
-    /// clients are rejected.
-    owner_lock: oneshot::Receiver<Result<FolderLock, TakeoverError>>,
+    granted: oneshot::Receiver<Result<Grant, DaemonError>>,
+}
+
+/// The owner's lock, and a listener that was opened right behind it.
+struct Grant {
+    lock: FolderLock,
+    listener: SharedListener,
+}
+
+impl Grant {
+    /// Waits for both in a thread of its own, without a poll and without the runtime: until this process listens, clients
+    /// are rejected. Not in the other order, for whatever is in the queue of a listener is lost with its process, and until
+    /// the lock is free the predecessor serves.
+    fn wait(folder: &SharedFolder, address: SocketAddr) -> Result<Grant, DaemonError> {
+        let lock = folder.lock(LockName::Owner)?;
+        let listener = SharedListener::open(address).map_err(DaemonError::ClientAddress)?;
+        Ok(Grant { lock, listener })
+    }
 }
 
 impl Request {
     /// Asks for the folder; `None` while another process does.
-    fn make(folder: &SharedFolder) -> Result<Option<Request>, DaemonError> {
+    fn make(folder: &SharedFolder, address: SocketAddr) -> Result<Option<Request>, DaemonError> {
         let Some(lock) = folder.request(new_request_id())? else { return Ok(None) };
-        let (sender, owner_lock) = oneshot::channel();
+        let (sender, granted) = oneshot::channel();
         let folder = folder.clone();
         let wait = move || {
             // A process that ends meanwhile has no use for it.
-            let _ = sender.send(folder.lock(LockName::Owner));
+            let _ = sender.send(Grant::wait(&folder, address));
         };
         std::thread::Builder::new().name("takeover".to_string()).spawn(wait).map_err(DaemonError::System)?;
-        Ok(Some(Request { lock, owner_lock }))
+        Ok(Some(Request { lock, granted }))
     }
 
     /// Asks anew, under another name.
@@ -69,7 +86,7 @@
     loop {
         let polled_at = clock::now();
         if asks && request.is_none() {
-            request = Request::make(folder)?;
+            request = Request::make(folder, config.listen)?;
         }
         tokio::select! {
             _ = terminate.recv() => {
@@ -79,10 +96,12 @@
                 }
                 return Ok(None);
             }
-            lock = owner_lock(&mut request) => {
+            grant = granted(&mut request) => {
+                let Grant { lock, listener } = grant?;
+                process.listener.set(listener);
                 let request_lock = request.map(|request| request.lock);
                 process.takeover.step(clock::now(), Observed { lock_acquired: true, ..Observed::default() });
-                return owned(config, process, lock?, request_lock).map(Some);
+                return owned(config, process, lock, request_lock).map(Some);
             }
             () = tokio::time::sleep(POLL_INTERVAL) => {}
         }
@@ -104,18 +123,17 @@
     }
 }
 
-/// The owner's lock of a request; never without one.
-async fn owner_lock(request: &mut Option<Request>) -> Result<FolderLock, DaemonError> {
+/// What a request has come to; never without one.
+async fn granted(request: &mut Option<Request>) -> Result<Grant, DaemonError> {
     let Some(request) = request else { return std::future::pending().await };
-    match (&mut request.owner_lock).await {
-        Ok(lock) => Ok(lock?),
+    match (&mut request.granted).await {
+        Ok(grant) => grant,
         // The thread that waits for it sends it before it ends.
         Err(_) => std::future::pending().await,
     }
 }
 
-/// The journal is this process's: begins to listen. Not sooner, for whatever is in the queue of a listener is lost with its
-/// process, and until now the predecessor answers clients.
+/// The journal is this process's: listens, unless it does so already.
 fn owned(
     config: &Config, process: &mut Process, lock: FolderLock, request: Option<FolderLock>,
 ) -> Result<Ownership, DaemonError> {
--- a/src/daemon/serving.rs
+++ b/src/daemon/serving.rs
@@ -11,10 +11,16 @@
 use crate::takeover::state::{Action, Observed};
 use crate::takeover::{FolderLock, LateOutcomeWriter, LockName, SharedFolder, TakeoverError};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio::time::{timeout, Instant};
 
+/// How long the last answers before a release are held back for the successor to listen. A client waits 400 ms.
+const LAST_ANSWERS_DELAY: Duration = Duration::from_millis(50);
+/// Pause between two looks at the successor meanwhile.
+const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// The platform's client address, and the parts behind it.
 pub(super) struct Service {
     parts: Parts,
@@ -51,6 +57,7 @@
         // Without an address for operators nobody starts a second process, and the locks are not polled.
         let polls_locks = self.management.is_some();
         let mut shutdown: Option<Shutdown> = None;
+        let mut owner_lock = Some(owner_lock);
         loop {
             tokio::select! {
                 _ = terminate.recv(), if shutdown.is_none() => {
@@ -63,8 +70,7 @@
             match process.takeover.step(clock::now(), self.observe(folder)) {
                 Some(Action::Drain) => self.drain_clients(),
                 Some(Action::Resume) => self.resume(),
-                Some(Action::Release) if self.release_journal(process, folder).await => {
-                    drop(owner_lock);
+                Some(Action::Release) if self.release_journal(process, folder, &mut owner_lock).await => {
                     let calls = self.exchange().calls_in_flight();
                     log::info!(calls; "handed over; ending the calls that are out");
                     let told_to_end_at = shutdown.map(|shutdown| shutdown.requested_at);
@@ -118,7 +124,9 @@
 
     /// Releases the journal; `false` where its late outcomes cannot be written, or another process is on standby, and this
     /// process goes on as owner.
-    async fn release_journal(&self, process: &mut Process, folder: &SharedFolder) -> bool {
+    async fn release_journal(
+        &self, process: &mut Process, folder: &SharedFolder, owner_lock: &mut Option<FolderLock>,
+    ) -> bool {
         let late_outcomes = match take_release_locks(process, folder) {
             Ok(Some(late_outcomes)) => late_outcomes,
             Ok(None) => {
@@ -134,7 +142,11 @@
         if let Some(management) = &self.management {
             management.set_serving(None);
         }
-        self.exchange().release_journal(late_outcomes).await;
+        if let Some(owner_lock) = owner_lock.take() {
+            self.exchange().release_journal(late_outcomes, owner_lock).await;
+        }
+        wait_for_owner(folder).await;
+        self.exchange().send_last_answers();
         true
     }
 
@@ -176,6 +188,14 @@
     Ok(Some(late_outcomes))
 }
 
+/// Waits until another process owns the folder, which it listens for in the same moment, or some time has passed.
+async fn wait_for_owner(folder: &SharedFolder) {
+    let give_up_at = Instant::now() + LAST_ANSWERS_DELAY;
+    while !folder.is_locked(LockName::Owner) && Instant::now() < give_up_at {
+        tokio::time::sleep(OWNER_POLL_INTERVAL).await;
+    }
+}
+
 fn accept_clients(config: &Config, parts: &Parts, listener: TcpListener) -> JoinHandle<()> {
     let routes = client::platform::routes(config.deployment.clone(), parts.exchange.clone());
     let front = client::Front { listener, routes, limits: client::platform::LIMITS, tls: None };
--- a/src/exchange/command.rs
+++ b/src/exchange/command.rs
@@ -1,7 +1,7 @@
 //! The messages of the exchange: commands to its task, and commands from it to the server side.
 use crate::core::{Answer, Attempt, Endpoint, EndpointObservation, Input, SuspensionResult};
 use crate::request::RequestContext;
-use crate::takeover::LateOutcomeWriter;
+use crate::takeover::{FolderLock, LateOutcomeWriter};
 use crate::{EndpointId, LoadReport, MessageId, Outcome};
 use bytes::Bytes;
 use tokio::sync::oneshot;
@@ -24,8 +24,11 @@
     SetSuspension { uid: String, suspension: Suspension, reply: oneshot::Sender<SuspensionResult> },
     /// How far client connections are closed.
     SetClientConnections(ClientConnections),
-    /// The journal belongs to another process from now on; outcomes of calls in flight go to `late`.
-    ReleaseJournal { late: LateOutcomeWriter, reply: oneshot::Sender<()> },
+    /// What the last step before the release has put out is to be executed now.
+    SendLastAnswers,
+    /// The journal belongs to another process from now on; outcomes of calls in flight go to `late`. The owner's lock is
+    /// dropped with the release.
+    ReleaseJournal { late: LateOutcomeWriter, owner_lock: FolderLock, reply: oneshot::Sender<()> },
 }
 
 /// An update of the endpoint list.
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -23,7 +23,7 @@
 use crate::journal::Record;
 use crate::metrics::Metrics;
 use crate::request::RequestContext;
-use crate::takeover::LateOutcomeWriter;
+use crate::takeover::{FolderLock, LateOutcomeWriter};
 use crate::{DestinationId, EndpointId, MessageId, Nanos};
 use bytes::Bytes;
 use command::Command;
@@ -158,10 +158,16 @@
     }
 
     /// Releases the journal to a successor, and writes to `late` what this process knows and what becomes of its calls in
-    /// flight. Once this returns, it does not write the journal, accepts no request and starts no attempt.
-    pub async fn release_journal(&self, late: LateOutcomeWriter) {
+    /// flight. Once this returns, it does not write the journal, accepts no request and starts no attempt, and the owner's
+    /// lock is free.
+    pub async fn release_journal(&self, late: LateOutcomeWriter, owner_lock: FolderLock) {
         // Where the task has ended there is nothing left to release.
-        let _ = self.request(|reply| Command::ReleaseJournal { late, reply }).await;
+        let _ = self.request(|reply| Command::ReleaseJournal { late, owner_lock, reply }).await;
+    }
+
+    /// Sends the answers of the last step before the release, which are held back until now.
+    pub fn send_last_answers(&self) {
+        self.send(Command::SendLastAnswers);
     }
 
     /// Calls whose first byte may have been sent and that have not ended.
--- a/src/exchange/task.rs
+++ b/src/exchange/task.rs
@@ -6,7 +6,7 @@
 use super::{AttemptId, Outputs};
 use crate::clock;
 use crate::core::{Answer, Callback, Core, Input, Output, SuspensionResult};
-use crate::takeover::LateOutcomeWriter;
+use crate::takeover::{FolderLock, LateOutcomeWriter};
 use crate::MessageId;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -17,6 +17,9 @@
 /// The longest tick. Guards the deadlines of messages against settings that name a long one.
 const MAX_TICK: Duration = Duration::from_millis(10);
 
+/// Turns of the runtime from a connection in the accept queue to its request's command: accept, read, submit; and one more.
+const TURNS_OF_A_REQUEST: usize = 4;
+
 /// A shutdown that has been requested.
 struct Shutdown {
     requested_at: Instant,
@@ -34,6 +37,7 @@
 /// A release of the journal that has been requested.
 struct ReleaseRequest {
     late: LateOutcomeWriter,
+    owner_lock: FolderLock,
     reply: oneshot::Sender<()>,
 }
 
@@ -64,6 +68,8 @@
     suspensions: Vec<SuspensionRequest>,
     /// Carried out after the inputs of its step: whoever asked before the release is answered by the owner.
     release: Option<ReleaseRequest>,
+    /// Outputs of the last step before the release.
+    last_outputs: Vec<Output>,
     shutdown: Option<Shutdown>,
 }
 
@@ -87,6 +93,7 @@
             late: None,
             suspensions: Vec::new(),
             release: None,
+            last_outputs: Vec::new(),
             shutdown: None,
         };
         let outputs = Outputs {
@@ -118,11 +125,13 @@
                 self.step_after_release(inputs);
                 continue;
             }
-            self.step(inputs);
-            self.advance_shutdown();
             if let Some(request) = self.release.take() {
-                self.release_journal(request);
+                self.collect_arrived(&mut commands, &mut inputs).await;
+                self.release_journal(request, inputs);
+                continue;
             }
+            self.step(inputs);
+            self.advance_shutdown();
         }
     }
 
@@ -162,7 +171,14 @@
             Command::SetClientConnections(connections) => {
                 self.set_client_connections(connections);
             }
-            Command::ReleaseJournal { late, reply } => self.release = Some(ReleaseRequest { late, reply }),
+            Command::SendLastAnswers => {
+                let outputs = std::mem::take(&mut self.last_outputs);
+                // A client that has not waited has its message with the successor.
+                self.execute(outputs);
+            }
+            Command::ReleaseJournal { late, owner_lock, reply } => {
+                self.release = Some(ReleaseRequest { late, owner_lock, reply });
+            }
             Command::ShutDown { reply } => {
                 let (requested_at, phase) = (Instant::now(), ShutdownPhase::Serving);
                 self.shutdown = Some(Shutdown { requested_at, phase, reply });
@@ -223,12 +239,28 @@
         }
     }
 
-    fn release_journal(&mut self, request: ReleaseRequest) {
-        let ReleaseRequest { mut late, reply } = request;
-        for record in self.core.lock().release_journal(clock::now()) {
+    /// Collects the commands of all requests that have arrived: their connections may be ready to be accepted or read, and
+    /// have not had their turn. After the release they would be rejected.
+    async fn collect_arrived(&mut self, commands: &mut UnboundedReceiver<Command>, inputs: &mut Vec<Input>) {
+        for _ in 0..TURNS_OF_A_REQUEST {
+            tokio::task::yield_now().await;
+            while let Ok(command) = commands.try_recv() {
+                self.handle_command(command, inputs);
+            }
+        }
+    }
+
+    /// The last step as the owner, and the release. Its answers are held back: a client that has its answer may come again at
+    /// once, and by then the successor is to listen.
+    fn release_journal(&mut self, request: ReleaseRequest, inputs: Vec<Input>) {
+        let ReleaseRequest { mut late, owner_lock, reply } = request;
+        let now = clock::now();
+        self.last_outputs = self.core.lock().step(now, inputs);
+        for record in self.core.lock().release_journal(now) {
             late.append(&record);
         }
         self.late = Some(late);
+        drop(owner_lock);
         let _ = reply.send(());
     }
 
