Takeover: a process whose successor dies serves again while a call of its own still hangs

What callers saw: with a call out at the first process (up to 28 s) and its successor dead, nobody served until the call had ended; callers were turned away, and before refused.

Cause: a process forgot its time as the owner, and could take the folder again, only after its last call.

Mend: once the successor is gone it forgets that time at once; the runtime of that time goes on in a thread until its calls have ended, and their outcomes come by `late`, as those of another process. SIGTERM waits for them as for others. The folder is not released again while they run.

Also: a process takes the request that it released the folder for never for a further one's, even when the lease is over.

--- a/crates/lab/tests/takeover/liveness.rs
+++ b/crates/lab/tests/takeover/liveness.rs
@@ -108,6 +108,22 @@
     }
 }
 
+/// The same where the successor dies while that call is out: the first process serves again beside it.
+#[test]
+fn a_predecessor_serves_again_while_a_call_of_its_earlier_time_is_out() {
+    let mut world = second_starts();
+    world.accept(0, 0);
+    world.send(0, 0);
+    for rounds in 0..=ROUNDS {
+        for mut run in after_rounds(Run::starting_at(world.clone()), rounds, &[0, 1]) {
+            run.world.kill(1);
+            for run in after_rounds(run, ROUNDS, &[0]) {
+                assert!(run.world.processes[0].accepts(), "killed after {rounds} rounds: {run:#?}");
+            }
+        }
+    }
+}
+
 #[test]
 fn a_predecessor_that_takes_the_journal_back_is_found() {
     let fault = InjectedFault::ReleasedJournalTakenBack;
--- a/crates/lab/tests/takeover/model.rs
+++ b/crates/lab/tests/takeover/model.rs
@@ -45,6 +45,8 @@
     /// Records of `late` that it has read.
     read: usize,
     has_predecessor: bool,
+    /// Calls of an earlier time as the owner that are in flight still, beside this one.
+    left_over: [Option<u8>; MESSAGES],
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -100,6 +102,7 @@
     Accept(usize, usize),
     Send(usize, usize),
     Finish(usize, usize, Outcome),
+    FinishLeftOver(usize, usize, Outcome),
     ReadLate(usize),
     Kill(usize),
     Start(usize),
@@ -141,11 +144,23 @@
 impl Process {
     pub fn started(asks: bool) -> Process {
         let known = [Known::Nothing; MESSAGES];
-        Process { alive: true, asks, takeover: StateMachine::new(), known, read: 0, has_predecessor: false }
+        Process {
+            alive: true,
+            asks,
+            takeover: StateMachine::new(),
+            known,
+            read: 0,
+            has_predecessor: false,
+            left_over: [None; MESSAGES],
+        }
     }
     pub fn has_calls_in_flight(&self) -> bool {
         self.known.iter().any(|k| matches!(k, Known::InFlight(_)))
     }
+    fn has_call_of(&self, messages: std::ops::RangeTo<usize>) -> bool {
+        let is_in_flight = |known: &Known| matches!(known, Known::InFlight(_));
+        self.known[messages].iter().any(is_in_flight) || self.left_over[messages].iter().any(Option::is_some)
+    }
     fn waits_for_predecessor(&self) -> bool {
         self.known.iter().any(|k| matches!(k, Known::AtPredecessor(_)))
     }
@@ -233,8 +248,12 @@
                 }
             }
             Some(Action::Reset) => {
-                self.late = self.late.filter(|l| *l != p);
-                self.processes[p] = Process { takeover, ..Process::started(false) };
+                let left_over = self.processes[p].known.map(|known| match known {
+                    Known::InFlight(attempt) => Some(attempt),
+                    _ => None,
+                });
+                self.processes[p] = Process { takeover, left_over, ..Process::started(false) };
+                self.release_late(p);
             }
             Some(Action::Drain | Action::Resume) | None => {}
         }
@@ -245,6 +264,13 @@
         }
     }
 
+    /// Without a call of an earlier time, nothing more is written to `late`.
+    fn release_late(&mut self, p: usize) {
+        if self.processes[p].left_over.iter().all(Option::is_none) {
+            self.late = self.late.filter(|l| *l != p);
+        }
+    }
+
     /// Reads the journal.
     fn serve(&mut self, fault: InjectedFault, p: usize) {
         let has_predecessor = self.records.is_some();
@@ -305,8 +331,7 @@
         if self.may_have_run[m] {
             self.violation = Some("a payout went out twice");
         }
-        let is_in_flight = |q: &Process| q.known[..m].iter().any(|k| matches!(k, Known::InFlight(_)));
-        if self.processes.iter().any(is_in_flight) {
+        if self.processes.iter().any(|q| q.has_call_of(..m)) {
             self.violation = Some("two of a key were out at once");
         }
         self.may_have_run[m] = true;
@@ -336,6 +361,17 @@
         Some(())
     }
 
+    /// The attempt of an earlier time as the owner ends.
+    fn finish_left_over(&mut self, p: usize, m: usize, outcome: Outcome) -> Option<()> {
+        let attempt = self.processes[p].left_over[m].take()?;
+        if outcome == Outcome::NeverRan {
+            self.may_have_run[m] = false;
+        }
+        self.records.iter_mut().for_each(|records| records.push((m, attempt, outcome)));
+        self.release_late(p);
+        Some(())
+    }
+
     pub fn kill(&mut self, p: usize) {
         self.release_locks(p);
         self.kills += 1;
@@ -380,6 +416,10 @@
         if matches!(process.known[m], Known::InFlight(_)) {
             steps.extend([Step::Finish(p, m, Outcome::Delivered), Step::Finish(p, m, Outcome::NeverRan)]);
         }
+        if process.left_over[m].is_some() {
+            let outcomes = [Outcome::Delivered, Outcome::NeverRan];
+            steps.extend(outcomes.map(|outcome| Step::FinishLeftOver(p, m, outcome)));
+        }
     }
 
     /// Whether the process takes all messages before this one for completed.
@@ -416,6 +456,7 @@
             Step::Accept(p, m) => world.accept(p, m),
             Step::Send(p, m) => world.send(p, m),
             Step::Finish(p, m, outcome) => world.finish(p, m, outcome)?,
+            Step::FinishLeftOver(p, m, outcome) => world.finish_left_over(p, m, outcome)?,
             Step::ReadLate(_) if world.disk_full => return None,
             Step::ReadLate(p) => world.read_late(self.0, p),
             Step::Kill(p) => world.kill(p),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! `ownership` waits for the journal, `startup` builds the parts round it, `serving` runs them until the process is to end
 //! or another one takes over, and `released` sees the process through the time after that. `listener` and `standby` are the
-//! clients' address across these times, `signals` hears SIGTERM.
+//! clients' address across these times, `left_over` the calls that outlast one, `signals` hears SIGTERM.
 #![warn(missing_docs)]
 mod error;
+mod left_over;
 mod listener;
 mod ownership;
 mod released;
@@ -16,17 +17,18 @@
 pub use error::DaemonError;
 
 use crate::client;
-use crate::exchange;
+use crate::exchange::{self, Exchange};
 use crate::flags::RunFlags;
 use crate::mgmt::ManagementServer;
 use crate::settings::Config;
 use crate::takeover::state::StateMachine;
 use crate::takeover::{FolderLock, SharedFolder};
+use left_over::LeftOverCalls;
 use listener::ClientListener;
 use ownership::Ownership;
 use serving::Service;
 use signals::Terminate;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::runtime::Runtime;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
@@ -54,13 +56,20 @@
     let mut generation = Generation::new()?;
     loop {
         let Generation { runtime, mut terminate, hangup } = generation;
-        match runtime.block_on(run_once(flags, &mut process, &mut terminate, hangup))? {
-            RunEnd::Terminated => return Ok(()),
-            RunEnd::Released => process.has_released = true,
-        }
+        let left_over = match runtime.block_on(run_once(flags, &mut process, &mut terminate, hangup))? {
+            RunEnd::Terminated => {
+                process.end_left_over_calls(terminate.heard_at());
+                return Ok(());
+            }
+            RunEnd::Released { left_over } => left_over,
+        };
+        process.has_released = true;
         // The next handlers before these are dropped: a signal that came to none would be lost (issue 48).
         generation = Generation::new()?;
         generation.terminate.add(&mut terminate);
+        if let Some(exchange) = left_over {
+            process.left_over_calls = Some(LeftOverCalls::finish(runtime, exchange)?);
+        }
     }
 }
 
@@ -92,16 +101,30 @@
     listener: ClientListener,
     /// Held while this process goes on to listen behind its successor.
     standby_lock: Option<FolderLock>,
+    /// Calls of an earlier time as the owner.
+    left_over_calls: Option<LeftOverCalls>,
     /// It has released the journal once: it takes it again only if no other process has it, and does not ask for it.
     has_released: bool,
 }
 
+impl Process {
+    /// The process ends: calls of an earlier time have as long as others to end.
+    fn end_left_over_calls(&mut self, told_to_end_at: Option<Instant>) {
+        let Some(calls) = self.left_over_calls.take() else { return };
+        let give_up_at = told_to_end_at.unwrap_or_else(Instant::now) + exchange::SHUTDOWN_TIMEOUT;
+        calls.wait_until(give_up_at);
+    }
+}
+
 /// How a time as the journal's owner, or a wait for that, ended.
 enum RunEnd {
     /// The process was told to end.
     Terminated,
-    /// Another process owns the journal now.
-    Released,
+    /// Another process owns the journal now, or none.
+    Released {
+        /// The exchange, where calls are in flight still.
+        left_over: Option<Exchange>,
+    },
 }
 
 /// Waits for the journal, serves, and ends or releases the journal.
--- a/src/daemon/released.rs
+++ b/src/daemon/released.rs
@@ -44,10 +44,15 @@
             () = tokio::time::sleep(POLL_INTERVAL) => {}
         }
     }
-    log::info!("calls ended, or given up for lack of time");
+    let exchange = service.exchange().clone();
+    let is_terminated = give_up_at.is_some();
+    if is_terminated || exchange.calls_in_flight() == 0 {
+        log::info!("calls ended, or given up for lack of time");
+    }
     service.close_clients().await;
-    if give_up_at.is_none() {
-        return RunEnd::Released;
+    if !is_terminated {
+        let left_over = (exchange.calls_in_flight() > 0).then_some(exchange);
+        return RunEnd::Released { left_over };
     }
     tokio::time::sleep(client::CLOSE_LINGER).await;
     RunEnd::Terminated
--- a/src/takeover/state.rs
+++ b/src/takeover/state.rs
@@ -26,8 +26,8 @@
         /// Since when.
         since: Nanos,
     },
-    /// It has released the journal, and rejects requests. It waits for its calls in flight to end, and for its client
-    /// connections to be closed.
+    /// It has released the journal, and rejects requests. It waits for its calls in flight to end and for its client
+    /// connections to be closed, or for its successor to be gone.
     Released,
 }
 
@@ -65,7 +65,8 @@
     /// Write what is known into `late` and keep its lock; then reject requests, start no attempt, and release the owner's
     /// lock.
     Release,
-    /// Release `late` and drop all state: the journal belongs to another process, or may be taken again.
+    /// Drop all state: the journal belongs to another process, or may be taken again. Calls that are in flight still go on,
+    /// and `late` stays locked for as long.
     Reset,
 }
 
@@ -114,7 +115,8 @@
 
     /// Whether a further process asks the successor of this one for the folder. This one has no part in it any more.
     pub fn is_superseded(&self, observed: Observed) -> bool {
-        self.successor_serves && observed.owned_by_other && observed.request.is_some()
+        let is_of_another = observed.request.is_some() && observed.request != self.released_for;
+        self.successor_serves && observed.owned_by_other && is_of_another
     }
 
     /// Whether this process, told to end, may do so: its calls have ended, and no successor is about to serve.
@@ -169,14 +171,13 @@
         }
     }
 
-    /// Whether nothing is left of the time as the owner. Clients that are connected still are waited for, unless nobody
-    /// serves meanwhile.
+    /// Whether the time as the owner is over: nothing is left of it, or nobody else serves, and its calls in flight may go
+    /// on beside the next time.
     fn is_over(&self, now: Nanos, observed: Observed) -> bool {
-        let may_go_on = match observed.owned_by_other {
-            true => !observed.clients_connected,
+        match observed.owned_by_other {
+            true => !observed.calls_in_flight && !observed.clients_connected,
             false => observed.request.is_none() || self.is_lease_over(now),
-        };
-        !observed.calls_in_flight && may_go_on
+        }
     }
 
     /// The release failed; the process goes on as the owner, and drains anew.
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -7,7 +7,9 @@
 use crate::stand::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use std::fmt::Write;
+use std::fmt::Write as _;
+use std::io::{BufReader, Write as _};
+use std::net::TcpStream;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -90,6 +92,16 @@
     Err(format!("{}\n{}", problems.join("\n"), world.diary))
 }
 
+/// Hands a message in, and gives the status of its answer; 0 where there is none.
+fn submit(process: &Daemon, class: &str, id: &str) -> u16 {
+    let Ok(mut socket) = TcpStream::connect(process.addr) else { return 0 };
+    let request = message(class, id, "20000m", "");
+    if socket.write_all(&request).is_err() || socket.set_read_timeout(Some(EVENT_TIMEOUT)).is_err() {
+        return 0;
+    }
+    read_http(&mut BufReader::new(socket)).map_or(0, |answer| answer.status())
+}
+
 /// Descriptors that are no sockets.
 fn count_files(process: &Daemon) -> usize {
     process.descriptors().iter().filter(|target| !target.starts_with("socket:")).count()
@@ -241,7 +253,7 @@
         // Under this load a message may be turned away.
         let processes = self.processes.len();
         for number in 0.. {
-            if self.current().submit("payout", &format!("before-kill-{processes}-{number}")) == 202 {
+            if submit(self.current(), "payout", &format!("before-kill-{processes}-{number}")) == 202 {
                 break;
             }
         }
@@ -280,7 +292,7 @@
         let asked = Instant::now();
         for number in 0.. {
             let id = format!("probe-{}-{number}", self.processes.len());
-            match self.current().submit("stats", &id) {
+            match submit(self.current(), "stats", &id) {
                 202 => break,
                 503 if asked.elapsed() < TAKEOVER_TIMEOUT => sleep(Duration::from_millis(5)),
                 status => {
--- a/tests/takeover_order.rs
+++ b/tests/takeover_order.rs
@@ -226,11 +226,10 @@
     assert!(deaf.is_empty(), "SIGTERM was lost so many ms after the successor's end: {deaf:?}");
 }
 
-/// Known red (KNOWN-RED.txt). A process that has released the folder forgets its time as the owner, and may take the folder
-/// again, only once its last call has ended. Where a call hangs and the successor dies, callers are turned away until
-/// then: `handed over; ending the calls that are out calls=1` in the log, and `ready` only when the call has ended. Before
-/// 879e520 they were refused. A mend has to let the calls of the time before end beside the new one, as those of another
-/// process do.
+/// A process that had released the folder took it again only once its last call had ended. Where a call hung and the successor
+/// died, callers were turned away until then: `handed over; ending the calls that are out calls=1` in the log, and `ready`
+/// only when the call had ended. Before 879e520 they were refused. The calls of the time before go on beside the new one
+/// now, as those of another process do.
 #[test]
 fn a_predecessor_with_a_call_out_serves_again_once_its_successor_is_gone() {
     const CALL: Duration = Duration::from_secs(10);
