--- a/src/exchange/task.rs
+++ b/src/exchange/task.rs
@@ -34,6 +34,13 @@
     reply: oneshot::Sender<SuspensionResult>,
 }
 
+/// The journal belongs to another process.
+struct ReleasedJournal {
+    /// Where outcomes of calls in flight go. Closed with the last of them: while its file is locked, the process that owns the
+    /// journal cannot release it in its turn.
+    late: Option<LateOutcomeWriter>,
+}
+
 /// A release of the journal that has been requested.
 struct ReleaseRequest {
     late: LateOutcomeWriter,
@@ -62,8 +69,8 @@
     platform_callbacks: UnboundedSender<Callback>,
     as2_receipts: UnboundedSender<Callback>,
     client_connections: watch::Sender<ClientConnections>,
-    /// Set once the journal belongs to another process: outcomes of calls in flight go here.
-    late: Option<LateOutcomeWriter>,
+    /// Set once the journal belongs to another process.
+    released: Option<ReleasedJournal>,
     /// Applied after all inputs of their step, an endpoint list among them, so that they find the endpoints it adds.
     suspensions: Vec<SuspensionRequest>,
     /// Carried out after the inputs of its step: whoever asked before the release is answered by the owner.
@@ -90,7 +97,7 @@
             platform_callbacks,
             as2_receipts,
             client_connections,
-            late: None,
+            released: None,
             suspensions: Vec::new(),
             release: None,
             last_outputs: Vec::new(),
@@ -121,7 +128,7 @@
             while let Ok(command) = commands.try_recv() {
                 self.handle_command(command, &mut inputs);
             }
-            if self.late.is_some() {
+            if self.released.is_some() {
                 self.step_after_release(inputs);
                 continue;
             }
@@ -259,15 +266,19 @@
         for record in self.core.lock().release_journal(now) {
             late.append(&record);
         }
-        self.late = Some(late);
+        let late = (self.core.lock().calls_in_flight() > 0).then_some(late);
+        self.released = Some(ReleasedJournal { late });
         drop(owner_lock);
         let _ = reply.send(());
     }
 
     /// A step once the journal belongs to another process: calls in flight end, and requests are rejected.
     fn step_after_release(&mut self, inputs: Vec<Input>) {
-        let Some(late) = &mut self.late else { return };
-        let outputs = after_release(&mut self.core.lock(), late, inputs);
+        let Some(released) = &mut self.released else { return };
+        let outputs = after_release(&mut self.core.lock(), released.late.as_mut(), inputs);
+        if self.core.lock().calls_in_flight() == 0 {
+            released.late = None;
+        }
         // A client that has gone has nothing to withdraw: its request was rejected.
         self.execute(outputs);
     }
@@ -310,21 +321,20 @@
 
 /// Applies inputs once the journal belongs to another process: outcomes and retry-after times go to `late`, and requests
 /// are rejected.
-fn after_release(core: &mut Core, late: &mut LateOutcomeWriter, inputs: Vec<Input>) -> Vec<Output> {
+fn after_release(core: &mut Core, late: Option<&mut LateOutcomeWriter>, inputs: Vec<Input>) -> Vec<Output> {
     let now = clock::now();
     let mut outputs = Vec::new();
+    let mut records = Vec::new();
     for input in inputs {
         match input {
             Input::Submitted { id, .. } => {
                 outputs.push(Output::Answer(id, Answer::Reject(core.rejection_retry_after())));
             }
             Input::AttemptEnded { id, attempt, outcome, over, .. } => {
-                let record = core.late_outcome(id, attempt, outcome, over);
-                record.iter().for_each(|record| late.append(record));
+                records.extend(core.late_outcome(id, attempt, outcome, over));
             }
             Input::RetryAfter { host, wait, .. } => {
-                let record = core.late_retry_after(now, host, wait);
-                record.iter().for_each(|record| late.append(record));
+                records.extend(core.late_retry_after(now, host, wait));
             }
             // The successor learns of these itself.
             Input::Endpoints { .. }
@@ -335,6 +345,9 @@
             | Input::PredecessorExited => {}
         }
     }
+    if let Some(late) = late {
+        records.iter().for_each(|record| late.append(record));
+    }
     outputs
 }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -16,6 +16,7 @@
 mod checks;
 mod crowd;
 mod operations;
+mod stalls;
 #[path = "../stand/mod.rs"]
 mod stand;
 mod world;
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -4,6 +4,7 @@
 use crate::checks::{self, Seen};
 use crate::crowd::{Crowd, CrowdKind};
 use crate::operations::{self, Operation};
+use crate::stalls::StallWatch;
 use crate::stand::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -65,6 +66,7 @@
     let operations = operations::draw(&mut random);
     let mut world = World::start(seed);
     let files = count_files(world.current());
+    let machine = StallWatch::start();
     let callers = Callers::start_kinds(world.current().addr, &CALLERS, &world.gate);
     let crowd_at_work = Crowd::start(crowd, world.current().addr);
     sleep(PAUSE);
@@ -74,11 +76,13 @@
         sleep(PAUSE);
     }
     let calls = callers.stop();
+    let stalls = machine.stop();
     crowd_at_work.stop();
     world.check_descriptors(files);
     let seen = Seen {
         calls: &calls,
         killed_owners: &world.killed_owners,
+        stalls: &stalls,
         endpoint: &world.endpoint,
         discovery: &world.discovery,
     };
