--- a/src/discovery/watcher.rs
+++ b/src/discovery/watcher.rs
@@ -212,6 +212,8 @@
         self.polls.spawn(poll.run());
         let delay = match self.pollers {
             Pollers::One => POLL_INTERVAL,
+            // The first poll has come by chance already.
+            Pollers::Many if is_first_poll => SHARED_PROBE_DELAY,
             Pollers::Many if is_slow => self.backoff.overload_delay(),
             Pollers::Many => self.backoff.probe_delay(SHARED_PROBE_DELAY),
         };
