A test of late outcomes no longer depends on whether another test starts a process just then

Cause: the test dropped its reader, which had locked the file, and locked it anew in the same folder. A lock belongs to the open file, which a process that another test is starting shares between fork and exec; until then it outlasts the reader. The program itself never forks.

The reader and the writer have a copy of the old folder each; what is asserted is the same.

--- a/tests/journal_compatibility.rs
+++ b/tests/journal_compatibility.rs
@@ -208,15 +208,16 @@
 
 #[test]
 fn late_outcomes_of_an_old_process_are_read_and_written_alike() {
-    let folder = copy("state");
-    let shared = SharedFolder::open(folder.path()).expect("the folder");
-    let mut reader = shared.open_late_outcomes().expect("the file");
+    let open = |folder: &Path| SharedFolder::open(folder).expect("the folder");
+    let read = copy("state");
+    let mut reader = open(read.path()).open_late_outcomes().expect("the file");
     assert_eq!(reader.read(), (late_records(), true));
-    // Its shared lock would keep the writer out.
-    drop(reader);
-    let mut writer = shared.create_late_outcomes().expect("the lock");
+    // In a copy of its own: the reader's lock outlasts it in each process that another test is starting, until that has
+    // become the program.
+    let written = copy("state");
+    let mut writer = open(written.path()).create_late_outcomes().expect("the lock");
     late_records().iter().for_each(|record| writer.append(record));
-    assert_eq!(bytes(folder.path(), "late"), bytes(&fixture("state"), "late"));
+    assert_eq!(bytes(written.path(), "late"), bytes(&fixture("state"), "late"));
 }
 
 #[test]
