--- a/src/client/listener.rs
+++ b/src/client/listener.rs
@@ -45,8 +45,8 @@
 }
 
 impl SharedListener {
-    /// Begins to listen; needs no runtime. From then on the kernel gives this process the new connections, and another one that listens
-    /// there only gets them once this one has closed its listener or has ended.
+    /// Begins to listen; needs no runtime. From then on the kernel gives this process the new connections. Another one that
+    /// listens there already gets them again once this one has closed its listener or has ended.
     ///
     /// # Errors
     ///
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -1,7 +1,7 @@
 //! Client connections: accepted, limited, served and closed, over all listeners.
 //!
-//! `listener` opens the listeners, `limiter` bounds the number of connections, `connection` serves one, `socket` closes it without losing a response, `head` scans
-//! what hyper does not show. [`platform`] and [`as2`] are the protocols, `error` has the responses to invalid requests.
+//! `listener` opens the listeners, `limiter` bounds the number of connections, `connection` serves one, `socket` closes it
+//! without losing a response, `head` scans what hyper does not show. [`platform`] and [`as2`] are the protocols, `error` has the responses to invalid requests.
 #![warn(missing_docs)]
 pub mod as2;
 mod connection;
--- a/src/daemon/listener.rs
+++ b/src/daemon/listener.rs
@@ -15,12 +15,11 @@
         if config.mgmt.is_none() {
             return client::listen(config.listen).map_err(DaemonError::ClientAddress);
         }
-        if self.0.is_none() {
-            self.0 = Some(SharedListener::open(config.listen).map_err(DaemonError::ClientAddress)?);
-        }
-        let handle =
-            self.0.as_ref().map_or_else(|| client::listen(config.listen), SharedListener::accept_handle);
-        handle.map_err(DaemonError::ClientAddress)
+        let shared = match &mut self.0 {
+            Some(shared) => shared,
+            closed => closed.insert(SharedListener::open(config.listen).map_err(DaemonError::ClientAddress)?),
+        };
+        shared.accept_handle().map_err(DaemonError::ClientAddress)
     }
 
     /// Takes a listener that was opened elsewhere.
--- a/src/discovery/watcher.rs
+++ b/src/discovery/watcher.rs
@@ -228,9 +228,8 @@
             self.next_poll_at = Instant::now() + delay;
         }
     }
-}
 
-impl<C: Connector> Watcher<C> {
+    /// How long to wait after a poll or watch that failed, where no other is in flight.
     fn delay_after(&mut self, error: &WatchError) -> Duration {
         if self.pollers == Pollers::One {
             return self.backoff.next_delay();
--- a/src/takeover/lock.rs
+++ b/src/takeover/lock.rs
@@ -73,10 +73,8 @@
     ///
     /// The file cannot be opened or locked.
     pub fn try_lock(&self, name: LockName) -> Result<Option<FolderLock>, TakeoverError> {
-        let path = self.path_of(name.file_name());
         let file = self.open_file(name.file_name())?;
-        let error = |source| TakeoverError { path, problem: "cannot be locked", source };
-        let is_ours = acquired(file.try_lock()).map_err(error)?;
+        let is_ours = acquired(file.try_lock()).map_err(|source| self.lock_error(name, source))?;
         Ok(is_ours.then_some(FolderLock(file)))
     }
 
@@ -87,15 +85,14 @@
     /// The file cannot be opened or locked.
     pub fn lock(&self, name: LockName) -> Result<FolderLock, TakeoverError> {
         let file = self.open_file(name.file_name())?;
-        let error = |source| TakeoverError {
-            path: self.path_of(name.file_name()),
-            problem: "cannot be locked",
-            source,
-        };
-        file.lock().map_err(error)?;
+        file.lock().map_err(|source| self.lock_error(name, source))?;
         Ok(FolderLock(file))
     }
 
+    fn lock_error(&self, name: LockName, source: io::Error) -> TakeoverError {
+        TakeoverError { path: self.path_of(name.file_name()), problem: "cannot be locked", source }
+    }
+
     /// Asks for the folder; `None` while another process does. The request stands until the lock is dropped.
     ///
     /// # Errors
--- a/src/takeover/state.rs
+++ b/src/takeover/state.rs
@@ -9,11 +9,12 @@
 pub const DRAIN_TIMEOUT: Nanos = Nanos(150_000_000);
 /// The time between two polls of the locks, in a process that waits for a change of them.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// How long a released journal is kept for the successor that asked for it. One that polls so much later is stopped, and
-/// the predecessor serves again.
-pub const REQUEST_LEASE: Nanos = Nanos(1_000_000_000);
 /// The same in a process that serves: it polls for as long as it runs, mostly in vain.
 pub const SERVING_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a released journal is kept for the successor that asked for it. One that has not taken it by then is stopped or
+/// hangs, and the predecessor serves again.
+pub const REQUEST_LEASE: Nanos = Nanos(1_000_000_000);
+
 /// Where a process stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum State {
--- a/tests/callers/processes.rs
+++ b/tests/callers/processes.rs
@@ -1,12 +1,15 @@
 //! The processes of a forwarder that callers meet.
-use super::{Call, End};
+use super::{unix_time, Call, End};
 use crate::stand::*;
 use std::ops::RangeInclusive;
+use std::thread::sleep;
 use std::time::Duration;
 
 /// The times in a log are full milliseconds.
 const LOG_RESOLUTION: Duration = Duration::from_millis(1);
 
+const LOG_READ_TIME: Duration = Duration::from_millis(20);
+
 /// A forwarder with a management address, whose only endpoint answers each call at once.
 pub fn start_first() -> Daemon {
     start_first_with(&Server::always("200 OK"))
@@ -32,9 +35,19 @@
     killed: RangeInclusive<Duration>,
 }
 
+/// Kills a process. `Some` where it owned the folder.
+pub fn kill(process: &mut Daemon) -> Option<KilledOwner> {
+    let kill_asked_at = unix_time();
+    process.kill();
+    let killed = kill_asked_at..=unix_time();
+    // Its log is read to the end by another thread.
+    sleep(LOG_READ_TIME);
+    KilledOwner::of(&process.log(), killed)
+}
+
 impl KilledOwner {
     /// Of a process that was killed in this time and has left this log; `None` where it never owned the folder.
-    pub fn of(log: &str, killed: RangeInclusive<Duration>) -> Option<KilledOwner> {
+    fn of(log: &str, killed: RangeInclusive<Duration>) -> Option<KilledOwner> {
         let line = log.lines().find(|line| line.contains("owner of the folder"))?;
         let seconds: f64 = line.split(' ').next()?.parse().expect("a time");
         Some(KilledOwner { listened_at: Duration::from_secs_f64(seconds), killed })
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -11,6 +11,7 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// A message has ended half a second after its time at the latest; callers give theirs 20 s.
 const DELIVERED_WITHIN: Duration = Duration::from_millis(20_500);
+
 /// All that was seen of a run.
 pub struct Seen<'a> {
     pub calls: &'a [Call],
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -1,5 +1,5 @@
 //! One run: a forwarder whose processes come and go, its callers, its endpoint and its platform.
-use crate::callers::processes::{start_second, KilledOwner};
+use crate::callers::processes::{kill, start_second, KilledOwner};
 use crate::callers::{unix_time, CallerKind, Callers, ConnectGate, Connections};
 use crate::checks::{self, Seen};
 use crate::crowd::{Crowd, CrowdKind};
@@ -34,7 +34,7 @@
     CallerKind { class: "sync", connections: Connections::Kept, key: Some("00bb") },
 ];
 
-/// An endpoint that answers at once, late, or not at first; by the message's id, the same in each play.
+/// An endpoint that answers at once or late; by the message's id, the same in each play.
 fn endpoint() -> Server {
     Server::start(|heard, _| {
         let number: usize = heard.id().rsplit('-').next().and_then(|number| number.parse().ok()).unwrap_or(0);
@@ -206,7 +206,7 @@
         sleep(after);
         self.kill_process(&mut second, "its successor");
         self.ended_beside(second);
-        self.await_service();
+        self.await_service("stats", "probe");
     }
 
     fn terminate_successor(&mut self, after: Duration) {
@@ -217,7 +217,7 @@
         let index = self.processes.len() - 1;
         self.processes.insert(index, second);
         self.await_end(index, |_| {});
-        self.await_service();
+        self.await_service("stats", "probe");
     }
 
     /// Whichever process goes on serves.
@@ -255,12 +255,7 @@
 
     fn kill(&mut self) {
         // Under this load a message may be turned away.
-        let processes = self.processes.len();
-        for number in 0.. {
-            if submit(self.current(), "payout", &format!("before-kill-{processes}-{number}")) == 202 {
-                break;
-            }
-        }
+        self.await_service("payout", "before-kill");
         self.gate.close();
         let mut process = self.processes.pop().expect("one runs");
         self.kill_process(&mut process, "it");
@@ -276,13 +271,9 @@
     }
 
     fn kill_process(&mut self, process: &mut Daemon, which: &str) {
-        let from = unix_time();
-        process.kill();
-        let to = unix_time();
+        let owner = kill(process);
         self.note(&format!("SIGKILL to {which}"));
-        // Its log is read to the end by another thread.
-        sleep(Duration::from_millis(20));
-        self.killed_owners.extend(KilledOwner::of(&process.log(), from..=to));
+        self.killed_owners.extend(owner);
     }
 
     /// A process that is gone goes before the one that serves.
@@ -292,11 +283,11 @@
     }
 
     /// Waits until a message is taken on; until then it may only be turned away.
-    fn await_service(&mut self) {
+    fn await_service(&mut self, class: &str, prefix: &str) {
         let asked = Instant::now();
         for number in 0.. {
-            let id = format!("probe-{}-{number}", self.processes.len());
-            match submit(self.current(), "stats", &id) {
+            let id = format!("{prefix}-{}-{number}", self.processes.len());
+            match submit(self.current(), class, &id) {
                 202 => break,
                 503 if asked.elapsed() < TAKEOVER_TIMEOUT => sleep(Duration::from_millis(5)),
                 status => {
--- a/tests/takeover_rounds.rs
+++ b/tests/takeover_rounds.rs
@@ -14,8 +14,8 @@
 //! `TAKEOVER_ROUNDS` says how many rounds a test plays, `TAKEOVER_SEED` from which seed.
 mod callers;
 mod stand;
-use callers::processes::{start_first, start_second, KilledOwner};
-use callers::{timeline, unix_time, Call, Callers, Connections, End};
+use callers::processes::{kill, start_first, start_second, KilledOwner};
+use callers::{timeline, Call, Callers, Connections, End};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use stand::*;
@@ -110,12 +110,7 @@
 fn kill_second(first: &Daemon, after: Duration) -> Option<KilledOwner> {
     let mut second = start_second(first);
     sleep(after);
-    let kill_asked_at = unix_time();
-    second.kill();
-    let killed = kill_asked_at..=unix_time();
-    // Its log is read to the end by another thread.
-    sleep(Duration::from_millis(20));
-    let owner = KilledOwner::of(&second.log(), killed);
+    let owner = kill(&mut second);
     std::mem::forget(second);
     owner
 }
