--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -118,6 +118,7 @@
 
     fn hand_in(&mut self, id: &str) -> Option<Accepted> {
         let message = Message::new("stats-push", id, 1 + self.number % PARTNERS, DEADLINE.as_millis() as u64);
+        self.record.line(&format!("client: hands in {id} (dest {})", message.dest));
         let sent_at = Instant::now();
         let is_resting = self.connection.is_some();
         let mut connection = self.connection.take().or_else(|| connect(self.network));
