--- a/benches/held.rs
+++ b/benches/held.rs
@@ -3,7 +3,9 @@
 //!
 //! `cargo bench --bench held` takes about a minute and uses 3 GB of memory.
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
-use micaladder::core::{Answer, Core, CoreOptions, Endpoint, Input, Output, Predecessor};
+use micaladder::core::{
+    Answer, Core, CoreOptions, Endpoint, EndpointList, Input, ListDelivery, ListRevision, Output, Predecessor,
+};
 use micaladder::journal::{Disk, FileWriter, Journal};
 use micaladder::plugins::Plugins;
 use micaladder::request::RequestContext;
@@ -99,6 +101,8 @@
             deployment: deployment(max_pending),
             seed: 7,
             static_endpoints: Vec::new(),
+            configured_list: EndpointList::default(),
+            list_delivery: ListDelivery::Delayed,
             plugins: Plugins::none(),
             journal,
             records,
@@ -122,6 +126,7 @@
             rate: 50.0,
         };
         simulation.step(vec![Input::Endpoints {
+            revision: ListRevision::default(),
             complete: true,
             endpoints: (0..PARTNERS).map(endpoint).collect(),
         }]);
--- a/src/core/endpoints.rs
+++ b/src/core/endpoints.rs
@@ -75,7 +75,7 @@
     }
 
     /// Applies a complete endpoint list or changes to it. Returns the entries for the decision module.
-    fn update(&mut self, complete: bool, endpoints: Vec<Endpoint>) -> Vec<EndpointEntry> {
+    pub(super) fn update(&mut self, complete: bool, endpoints: Vec<Endpoint>) -> Vec<EndpointEntry> {
         let static_endpoints = if complete { self.static_endpoints.clone() } else { Vec::new() };
         let mut entries = Vec::new();
         for endpoint in endpoints.into_iter().chain(static_endpoints) {
@@ -129,6 +129,12 @@
         listed.map(|(host, endpoint)| self.entry(*host, endpoint))
     }
 
+    /// Returns the currently listed endpoints without those from the settings.
+    pub(super) fn listed_by_discovery(&self) -> impl Iterator<Item = &Endpoint> + '_ {
+        let is_static = |endpoint: &Endpoint| self.static_endpoints.iter().any(|s| s.uid == endpoint.uid);
+        self.by_id.values().filter(move |e| e.state != EndpointState::Removed && !is_static(e))
+    }
+
     /// Drops removed endpoints without an attempt in flight, and returns them.
     fn retire_idle(&mut self, in_flight: &InFlightCounts) -> Vec<(EndpointId, Endpoint)> {
         let idle: Vec<EndpointId> =
@@ -176,11 +182,6 @@
         }
     }
 
-    pub(super) fn update_endpoints(&mut self, complete: bool, endpoints: Vec<Endpoint>) {
-        let entries = self.endpoints.update(complete, endpoints);
-        self.events.push(Event::EndpointList { complete, entries });
-    }
-
     /// Drops removed endpoints after their last attempt, which bounds memory while endpoints come and go, and closes their
     /// connections: an endpoint that is listed again counts as new and must not use a connection of the old one.
     pub(super) fn retire_endpoints(&mut self) {
--- a/src/core/journal_writer.rs
+++ b/src/core/journal_writer.rs
@@ -13,7 +13,7 @@
 //! The number of deferred records is bounded: while the journal cannot be written, nothing is accepted and no attempt starts,
 //! so each pending message adds at most the end of its attempt, its completion and its acknowledgement.
 use super::messages::Output;
-use crate::journal::{Journal, JournalError, Record};
+use crate::journal::{Journal, JournalError, Record, StoredEndpointList};
 use crate::Nanos;
 use std::collections::VecDeque;
 
@@ -47,6 +47,8 @@
     /// Next pause before a retry, in seconds.
     backoff_s: f64,
     recovered_at: Option<Nanos>,
+    /// Time at which the endpoint list is stored again; set after that failed.
+    endpoint_list_retry_at: Option<Nanos>,
     /// Whether the journal has been released to another process.
     released: bool,
 }
@@ -60,6 +62,7 @@
             rewrite_retry_at: None,
             backoff_s: FIRST_BACKOFF_S,
             recovered_at: None,
+            endpoint_list_retry_at: None,
             released: false,
         }
     }
@@ -72,11 +75,40 @@
     /// Releases the journal to another process: this one writes nothing from now on.
     pub(super) fn release(&mut self) {
         self.released = true;
+        self.endpoint_list_retry_at = None;
     }
 
-    /// Returns the time of the next call to `retry`; `None` while the journal can be written.
+    /// Returns the time of the next retry of a write; `None` if none has failed.
     pub(super) fn next_wake(&self) -> Option<Nanos> {
-        self.retry_at
+        self.retry_at.into_iter().chain(self.endpoint_list_retry_at).min()
+    }
+
+    /// Reads the endpoint list that the folder's last process stored; `None` if there is none.
+    pub(super) fn read_endpoint_list(&mut self) -> Option<StoredEndpointList> {
+        self.journal.read_endpoint_list()
+    }
+
+    /// Stores the endpoint list for the next process. On a failure the previous list stays in use, and
+    /// [`endpoint_list_retry_due`](Self::endpoint_list_retry_due) returns `true` after a pause.
+    pub(super) fn store_endpoint_list(&mut self, now: Nanos, list: &StoredEndpointList) {
+        if self.released {
+            return;
+        }
+        let failed_before = self.endpoint_list_retry_at.is_some();
+        let result = self.journal.write_endpoint_list(list);
+        self.endpoint_list_retry_at = result.as_ref().err().map(|_| now + MAX_BACKOFF_S);
+        if let Err(error) = result {
+            if !failed_before {
+                log::warn!(
+                    "endpoint list not stored, a restarted process may start with an older one: {error}"
+                );
+            }
+        }
+    }
+
+    /// Returns whether it is time to store the endpoint list again after a failure.
+    pub(super) fn endpoint_list_retry_due(&self, now: Nanos) -> bool {
+        !self.released && self.endpoint_list_retry_at.is_some_and(|at| at <= now)
     }
 
     /// Returns the capacity for pending messages and the deduplication cache, in bytes.
--- a/src/core/messages.rs
+++ b/src/core/messages.rs
@@ -1,4 +1,5 @@
 //! Input and output types of the core, independent of any protocol.
+use super::endpoint_list::ListRevision;
 use crate::interface::{
     DestinationId, EndpointId, EndpointState, Finding, LoadReport, MessageId, Nanos, Outcome,
 };
@@ -56,6 +57,8 @@
 pub enum Input {
     /// The endpoint list was received, or changes to it.
     Endpoints {
+        /// The revision of the list after this update.
+        revision: ListRevision,
         /// Whether this is the whole list: endpoints missing from it are removed.
         complete: bool,
         /// The endpoints.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 //! | `ordering` | attempts that wait for their ordering key |
 //! | `completions` | complete messages and their callbacks |
 //! | `endpoints` | the endpoint registry |
+//! | `endpoint_list` | the endpoint list at the start, and its copy on disk |
 //! | `suspensions` | operators' suspensions, and the metrics of the endpoint list |
 //! | `journal_writer` | journal writes on a disk that may fail |
 //! | `restart` | replay of the journal at startup |
@@ -18,6 +19,7 @@
 mod admission;
 mod attempts;
 mod completions;
+mod endpoint_list;
 mod endpoints;
 mod in_flight;
 mod journal_writer;
@@ -31,6 +33,7 @@
 mod tests;
 
 pub use admission::rejection_retry_after;
+pub use endpoint_list::{EndpointList, ListDelivery, ListRevision};
 pub use messages::{Answer, Attempt, Callback, Endpoint, EndpointObservation, Input, Output};
 pub use suspensions::SuspensionResult;
 
@@ -41,6 +44,7 @@
 use crate::metrics::Metrics;
 use crate::plugins::Plugins;
 use crate::settings::DeploymentSettings;
+use endpoint_list::ListState;
 use endpoints::EndpointRegistry;
 use journal_writer::JournalWriter;
 use ordering::OrderingKeys;
@@ -59,6 +63,10 @@
     pub seed: u64,
     /// Endpoints from the settings rather than from discovery; added to each complete endpoint list.
     pub static_endpoints: Vec<Endpoint>,
+    /// The endpoint list in the configuration, used if the folder's last process has stored none or an older one.
+    pub configured_list: EndpointList,
+    /// How soon discovery sends its list to a new process.
+    pub list_delivery: ListDelivery,
     /// Plug-in scripts that inspect each request and each outcome.
     pub plugins: Plugins,
     /// The journal, open for appending.
@@ -92,6 +100,7 @@
     ordering: OrderingKeys,
     deduplication: DeduplicationCache,
     endpoints: EndpointRegistry,
+    list: ListState,
     predecessor_calls: PredecessorCalls,
     /// Id of the next message.
     next_id: u64,
@@ -114,10 +123,20 @@
 }
 
 impl Core {
-    /// Creates a core and resumes the pending messages of the journal.
+    /// Creates a core, resumes the pending messages of the journal and applies the endpoint list to start with.
     pub fn new(options: CoreOptions) -> Core {
-        let CoreOptions { deployment, seed, static_endpoints, plugins, journal, records, predecessor, now } =
-            options;
+        let CoreOptions {
+            deployment,
+            seed,
+            static_endpoints,
+            configured_list,
+            list_delivery,
+            plugins,
+            journal,
+            records,
+            predecessor,
+            now,
+        } = options;
         let settings = deployment.module.clone();
         let mut core = Core {
             balancer: Balancer::new(settings.clone(), seed),
@@ -130,6 +149,7 @@
             ordering: OrderingKeys::default(),
             deduplication: DeduplicationCache::default(),
             endpoints: EndpointRegistry::new(static_endpoints),
+            list: ListState::new(&configured_list.revision, list_delivery, now),
             predecessor_calls: PredecessorCalls::default(),
             next_id: 1,
             now,
@@ -145,6 +165,7 @@
             core.replay(record);
         }
         core.resume(predecessor);
+        core.start_with_endpoint_list(configured_list);
         core
     }
 
@@ -163,7 +184,7 @@
     /// Returns the latest time of the next call to [`step`](Core::step); `None` if nothing is scheduled.
     pub fn next_wake(&self) -> Option<Nanos> {
         let decision = self.wake_at.filter(|_| !self.draining);
-        decision.into_iter().chain(self.journal.next_wake()).min()
+        decision.into_iter().chain(self.journal.next_wake()).chain(self.list.awaited_until()).min()
     }
 
     /// Returns the number of attempts that have not ended, including those not yet handed to the transport.
@@ -180,12 +201,13 @@
     pub fn step(&mut self, now: Nanos, inputs: Vec<Input>) -> Vec<Output> {
         self.now = now;
         self.retry_journal();
+        self.retry_endpoint_list();
         let mut submitted = Vec::new();
         for input in inputs {
             submitted.extend(self.handle_input(input));
         }
         // `may_send` writes to the journal between steps, and that write may have failed.
-        self.pause_if_journal_unavailable();
+        self.update_pause();
         self.advance_predecessor_calls();
         let actions = self.decide();
         self.answer_submitted(&submitted, &actions);
@@ -197,7 +219,7 @@
         if self.journal.needs_rewrite(now, 0) {
             self.rewrite_journal();
         }
-        self.pause_if_journal_unavailable();
+        self.update_pause();
         self.update_metrics();
         std::mem::take(&mut self.outputs)
     }
@@ -206,7 +228,9 @@
     fn handle_input(&mut self, input: Input) -> Option<MessageId> {
         match input {
             Input::Submitted { id, context } => return self.handle_submitted(id, context),
-            Input::Endpoints { complete, endpoints } => self.update_endpoints(complete, endpoints),
+            Input::Endpoints { revision, complete, endpoints } => {
+                self.update_endpoints(revision, complete, endpoints);
+            }
             Input::Withdrawn(id) => self.withdraw(id),
             Input::AttemptEnded { id, attempt, outcome, over, report } => {
                 self.attempt_ended(id, attempt, outcome, over, report);
@@ -280,18 +304,18 @@
         let Some(outputs) = self.journal.retry(now, all_records) else { return };
         self.outputs.extend(outputs);
         if !self.journal.is_unavailable() {
-            self.paused = false;
-            self.events.push(Event::Paused(false));
             self.wake_at = Some(now);
         }
     }
 
-    /// Pauses the decision module while the journal cannot be written. Without the pause it would decide on new attempts
-    /// for all its messages in every step while the disk fails.
-    fn pause_if_journal_unavailable(&mut self) {
-        if self.journal.is_unavailable() && !self.paused {
-            self.paused = true;
-            self.events.push(Event::Paused(true));
+    /// Pauses the decision module while no attempt may start: while the journal cannot be written, and at the start until the
+    /// endpoint list is confirmed. Without the pause the module would decide on attempts in every step, all in vain.
+    fn update_pause(&mut self) {
+        self.expire_list_wait();
+        let is_paused = self.journal.is_unavailable() || self.list.awaited_until().is_some();
+        if is_paused != self.paused {
+            self.paused = is_paused;
+            self.events.push(Event::Paused(is_paused));
             self.wake_at = Some(self.now);
         }
     }
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -69,13 +69,39 @@
 }
 
 #[derive(Clone, Default)]
-struct InMemoryDisk {
+pub(in crate::core) struct InMemoryDisk {
     folder: SharedFolder,
     /// Names of all files that were ever opened.
     open_files: Arc<Mutex<Vec<FileName>>>,
 }
 
 impl InMemoryDisk {
+    /// Returns the disk that the next process finds after this one was killed: healthy, with the same files.
+    pub(in crate::core) fn after_kill(&self) -> InMemoryDisk {
+        let disk = InMemoryDisk::default();
+        disk.folder.state().contents = std::mem::take(&mut self.folder.state().contents);
+        disk
+    }
+
+    /// Makes all operations fail until [`recover`](Self::recover) is called.
+    pub(in crate::core) fn fail_all(&self) {
+        self.inject_faults(ALL_OPERATIONS, 0, u64::MAX, 0);
+    }
+
+    pub(in crate::core) fn recover(&self) {
+        self.inject_faults(&[], 0, 0, 0);
+    }
+
+    /// Lets `after` further operations succeed, and then fails up to `max_faults` operations of these kinds.
+    fn inject_faults(
+        &self, kinds: &'static [&'static str], after: u64, max_faults: u64, partial_bytes: usize,
+    ) {
+        let mut state = self.folder.state();
+        state.faults_after = state.operations + after;
+        (state.faulty_kinds, state.max_faults, state.faults, state.partial_bytes) =
+            (kinds, max_faults, 0, partial_bytes);
+    }
+
     fn open_writer(&self, name: &str) -> Box<dyn FileWriter> {
         let name = Arc::new(Mutex::new(name.to_string()));
         self.open_files.lock().expect("lock").push(name.clone());
@@ -146,7 +172,7 @@
 /// Maximum number of requests that `run` submits.
 const MAX_REQUESTS: u64 = 90;
 
-fn deployment() -> Arc<DeploymentSettings> {
+pub(in crate::core) fn deployment() -> Arc<DeploymentSettings> {
     let class = |name: &str, effect, fifo_by_key| {
         let (latency_objective, deadline) = (Nanos::from_secs(1.0), Nanos::from_secs(8.0));
         (
@@ -268,6 +294,8 @@
             deployment: deployment(),
             seed,
             static_endpoints: Vec::new(),
+            configured_list: EndpointList::default(),
+            list_delivery: ListDelivery::Delayed,
             plugins: Plugins::none(),
             journal,
             records,
@@ -284,7 +312,11 @@
             rate: 50.0,
         });
         core.events.push(Event::Due);
-        let endpoint_list = Input::Endpoints { complete: true, endpoints: endpoints.collect() };
+        let endpoint_list = Input::Endpoints {
+            revision: ListRevision::default(),
+            complete: true,
+            endpoints: endpoints.collect(),
+        };
         let outputs = core.step(now, vec![endpoint_list]);
         assert!(outputs.iter().all(|o| !matches!(o, Output::Answer(..))));
         // The first step of the simulation returns these outputs.
@@ -294,9 +326,7 @@
 
     /// Kills the process, and starts another one on a healthy disk.
     fn kill(&mut self) {
-        let contents = std::mem::take(&mut self.disk.folder.state().contents);
-        self.disk = InMemoryDisk::default();
-        self.disk.folder.state().contents = contents;
+        self.disk = self.disk.after_kill();
         self.now = self.now + Nanos::from_secs(0.6);
         (self.connecting, self.in_flight, self.acknowledgements) = Default::default();
         self.sent_attempts.clear();
@@ -523,14 +553,10 @@
         }
     }
 
-    /// Lets `after` further operations succeed, and then fails up to `max_faults` operations of these kinds.
     fn inject_faults(
         &self, kinds: &'static [&'static str], after: u64, max_faults: u64, partial_bytes: usize,
     ) {
-        let mut state = self.disk.folder.state();
-        state.faults_after = state.operations + after;
-        (state.faulty_kinds, state.max_faults, state.faults, state.partial_bytes) =
-            (kinds, max_faults, 0, partial_bytes);
+        self.disk.inject_faults(kinds, after, max_faults, partial_bytes);
     }
 }
 
--- a/src/daemon/startup.rs
+++ b/src/daemon/startup.rs
@@ -3,7 +3,7 @@
 use crate::as2::As2Settings;
 use crate::client::{self, ConnectionLimiter, SharedListener};
 use crate::core::{Core, CoreOptions, Predecessor};
-use crate::exchange::{EndpointUpdate, Exchange, Outputs};
+use crate::exchange::{Exchange, Outputs};
 use crate::flags::RunFlags;
 use crate::fleet::gossip::FleetHandle;
 use crate::journal::Journal;
@@ -39,22 +39,23 @@
         deployment: config.deployment.clone(),
         seed: config.seed,
         static_endpoints: as2.as_ref().map(|settings| settings.endpoints()).unwrap_or_default(),
+        configured_list: discovery::configured_list(config),
+        list_delivery: discovery::list_delivery(&config.deployment),
         plugins: Plugins::load(&flags.files.plugins),
         journal,
         records,
         predecessor: predecessor(late_outcomes.as_ref()),
         now: clock::now(),
     });
+    let initial_list = InitialList::of(&core, config);
     let (exchange, outputs) = Exchange::new(core);
     let Outputs { upstream_commands, platform_callbacks, as2_completions } = outputs;
-    let initial_endpoints = discovery::endpoints(&config.deployment, &config.initial_endpoints);
-    exchange.update_endpoints(EndpointUpdate::Complete(initial_endpoints));
     if let Some(reader) = late_outcomes {
         tokio::spawn(follow_predecessor(reader, exchange.clone()));
     }
     let deployment = config.deployment.clone();
     tokio::spawn(upstream::run(deployment, as2.clone(), exchange.clone(), upstream_commands));
-    let discovery = start_discovery(flags, config, &exchange, hangup);
+    let discovery = start_discovery(flags, config, initial_list, &exchange, hangup);
     tokio::spawn(callbacks::run(discovery.address, exchange.clone(), platform_callbacks));
     let limiter = ConnectionLimiter::new(config.socket_limit / CLIENT_SOCKETS_DIVISOR);
     if let Some(as2) = as2 {
@@ -96,16 +97,34 @@
     fleet: Option<FleetHandle>,
 }
 
+/// The endpoint list from which discovery continues.
+struct InitialList {
+    /// Version after which the first watch starts; 0 requests the complete list.
+    version: u64,
+    has_endpoints: bool,
+}
+
+impl InitialList {
+    fn of(core: &Core, config: &Config) -> InitialList {
+        let revision = core.list_revision();
+        // Another discovery server numbers its versions differently.
+        let version = if revision.source == config.discovery { revision.number } else { 0 };
+        InitialList { version, has_endpoints: core.has_listed_endpoints() }
+    }
+}
+
 /// Starts discovery, the peer exchange that publishes the list's version, and the reloads that may change the address.
-fn start_discovery(flags: &RunFlags, config: &Config, exchange: &Exchange, hangup: Signal) -> DiscoveryParts {
+fn start_discovery(
+    flags: &RunFlags, config: &Config, list: InitialList, exchange: &Exchange, hangup: Signal,
+) -> DiscoveryParts {
     let (address_sender, address) = watch::channel(config.discovery.clone());
-    let (version_sender, list_version) = watch::channel(config.initial_endpoints.revision);
+    let (version_sender, list_version) = watch::channel(list.version);
     let changes = peers::LocalChanges { list_version, discovery_address: address.clone() };
     let fleet = peers::start(&flags.files.peers, config, exchange, changes);
     tokio::spawn(reload::run(config.clone(), hangup, address_sender));
     let initial_list = discovery::EndpointListState {
-        version: config.initial_endpoints.revision,
-        can_serve: !config.initial_endpoints.endpoints.is_empty(),
+        version: list.version,
+        can_serve: list.has_endpoints,
         published_version: version_sender,
     };
     let deployment = config.deployment.clone();
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -11,9 +11,9 @@
 mod watcher;
 
 use crate::backoff::Backoff;
-use crate::core::Endpoint;
+use crate::core::{Endpoint, EndpointList, ListDelivery, ListRevision};
 use crate::exchange::{EndpointUpdate, Exchange};
-use crate::settings::{DeploymentSettings, EndpointListUpdate, ListedEndpoint};
+use crate::settings::{Config, DeploymentSettings, EndpointListUpdate, ListedEndpoint};
 use crate::EndpointState;
 use std::sync::Arc;
 use timing::Pollers;
@@ -42,15 +42,15 @@
     let start = WatchStart { version: state.version, can_serve: state.can_serve, pollers };
     let watcher = Watcher::new(TcpConnector, address, start, backoff);
     watcher
-        .run(|update| {
-            apply_update(&update, &deployment, &exchange, &mut state);
+        .run(|address, update| {
+            apply_update(address, &update, &deployment, &exchange, &mut state);
             state.version
         })
         .await;
 }
 
 fn apply_update(
-    update: &EndpointListUpdate, deployment: &DeploymentSettings, exchange: &Exchange,
+    address: &str, update: &EndpointListUpdate, deployment: &DeploymentSettings, exchange: &Exchange,
     state: &mut EndpointListState,
 ) {
     // An empty complete list means that the discovery server has lost its data. Applying it would stop all deliveries until the
@@ -64,14 +64,31 @@
     state.can_serve |= !update.endpoints.is_empty();
     log::info!(lines = update.endpoints.len(); "upstream group: version {}", state.version);
     let endpoints = endpoints(deployment, update);
-    exchange.update_endpoints(match update.complete {
+    let update = match update.complete {
         true => EndpointUpdate::Complete(endpoints),
         false => EndpointUpdate::Changes(endpoints),
-    });
+    };
+    let revision = ListRevision { source: address.to_string(), number: state.version };
+    exchange.update_endpoints(revision, update);
+}
+
+/// Returns how soon a new process of this deployment receives the list.
+pub fn list_delivery(deployment: &DeploymentSettings) -> ListDelivery {
+    match Pollers::from_count(deployment.polling_forwarders()) {
+        Pollers::One => ListDelivery::Immediate,
+        Pollers::Many => ListDelivery::Delayed,
+    }
+}
+
+/// Returns the endpoint list in the configuration. Its revision counts as one of the configured discovery server.
+pub fn configured_list(config: &Config) -> EndpointList {
+    let revision =
+        ListRevision { source: config.discovery.clone(), number: config.initial_endpoints.revision };
+    EndpointList { revision, endpoints: endpoints(&config.deployment, &config.initial_endpoints) }
 }
 
 /// Converts the endpoints of a list update to the endpoints of the core.
-pub fn endpoints(deployment: &DeploymentSettings, update: &EndpointListUpdate) -> Vec<Endpoint> {
+fn endpoints(deployment: &DeploymentSettings, update: &EndpointListUpdate) -> Vec<Endpoint> {
     update.endpoints.iter().map(|listed| endpoint(deployment, listed)).collect()
 }
 
@@ -79,19 +96,14 @@
     Endpoint {
         uid: listed.uid.clone(),
         address: listed.address.clone(),
-        zone: index_of(&deployment.zones, listed.zone.as_ref()),
-        kind: index_of(&deployment.kinds, listed.kind.as_ref()),
+        zone: deployment.zone_index(listed.zone.as_deref()),
+        kind: deployment.kind_index(listed.kind.as_deref()),
         dest: listed.destination,
         state: state(&listed.state),
         rate: listed.rate.unwrap_or(0.0),
     }
 }
 
-/// Returns the index of a configured name, or 0 if the name is missing or unknown.
-fn index_of(names: &[String], name: Option<&String>) -> usize {
-    names.iter().position(|known| Some(known) == name).unwrap_or(0)
-}
-
 fn state(name: &str) -> EndpointState {
     match name {
         "Ready" => EndpointState::Running,
--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -134,7 +134,7 @@
     let start = WatchStart { version: 1, can_serve: true, pollers };
     let applied = Arc::new(Mutex::new(Vec::new()));
     let recorded = applied.clone();
-    let watcher = Watcher::new(discovery, address, start, backoff).run(move |update| {
+    let watcher = Watcher::new(discovery, address, start, backoff).run(move |_, update| {
         recorded.lock().expect("lock").push((update.revision, started_at.elapsed()));
         update.revision
     });
--- a/src/discovery/tests/capacity.rs
+++ b/src/discovery/tests/capacity.rs
@@ -206,7 +206,7 @@
         let backoff = Backoff::new(forwarders, Pollers::Many.max_backoff(), seed * 10_000 + number as u64);
         let start = WatchStart { version: 1, can_serve: true, pollers: Pollers::Many };
         let applied = applied.clone();
-        let watcher = Watcher::new(discovery.clone(), address, start, backoff).run(move |update| {
+        let watcher = Watcher::new(discovery.clone(), address, start, backoff).run(move |_, update| {
             applied.lock().expect("lock")[number].get_or_insert(started_at.elapsed());
             update.revision
         });
--- a/src/discovery/watcher.rs
+++ b/src/discovery/watcher.rs
@@ -134,9 +134,9 @@
         }
     }
 
-    /// Follows the list until the process exits. `apply` applies each update and returns the version in use afterwards, from
-    /// which each new watch resumes.
-    pub(super) async fn run(mut self, mut apply: impl FnMut(EndpointListUpdate) -> u64) {
+    /// Follows the list until the process exits. `apply` takes the address of the server and its update, applies the update and
+    /// returns the version in use afterwards, from which each new watch resumes.
+    pub(super) async fn run(mut self, mut apply: impl FnMut(&str, EndpointListUpdate) -> u64) {
         loop {
             match self.next_event().await {
                 WatcherEvent::AddressChanged => self.handle_address_change(),
@@ -146,7 +146,7 @@
                     self.handle_received();
                     match event {
                         WatchEvent::KeepAlive => {}
-                        WatchEvent::List(update) => self.version = apply(update),
+                        WatchEvent::List(update) => self.version = apply(&self.current_address, update),
                     }
                 }
             }
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -19,7 +19,7 @@
 pub use shutdown::SHUTDOWN_TIMEOUT;
 
 use crate::clock;
-use crate::core::{Answer, Callback, Core, EndpointObservation, Input, SuspensionResult};
+use crate::core::{Answer, Callback, Core, EndpointObservation, Input, ListRevision, SuspensionResult};
 use crate::journal::Record;
 use crate::metrics::Metrics;
 use crate::request::RequestContext;
@@ -78,13 +78,13 @@
         result.unwrap_or(Answer::Reject(None))
     }
 
-    /// Applies an update of the endpoint list.
-    pub fn update_endpoints(&self, update: EndpointUpdate) {
+    /// Applies an update of the endpoint list, which then has this revision.
+    pub fn update_endpoints(&self, revision: ListRevision, update: EndpointUpdate) {
         let (complete, endpoints) = match update {
             EndpointUpdate::Complete(endpoints) => (true, endpoints),
             EndpointUpdate::Changes(endpoints) => (false, endpoints),
         };
-        self.send(Command::Input(Input::Endpoints { complete, endpoints }));
+        self.send(Command::Input(Input::Endpoints { revision, complete, endpoints }));
     }
 
     /// Returns whether an attempt may still be sent, now that it has a connection. Every transport calls this once per attempt,
--- a/src/journal/append_log.rs
+++ b/src/journal/append_log.rs
@@ -4,6 +4,7 @@
 //! truncates the incomplete record before it appends anything, and removes the compacted log: the old log stays in use.
 use super::codec::{encode, replay};
 use super::disk::{open_disk, Disk, FileWriter};
+use super::endpoint_list::{self, StoredEndpointList};
 use super::limits::{self, Limits};
 use super::record::Record;
 use std::io;
@@ -23,6 +24,9 @@
     /// `limits.disk_mb` raises the share.
     #[error("the journal's share of the state folder is used up: wait until messages complete, or raise limits.disk_mb")]
     CapacityExceeded,
+    /// The endpoint list exceeds its share of the state folder; a larger `limits.disk_mb` raises the share.
+    #[error("the endpoint list exceeds its share of the state folder: raise limits.disk_mb")]
+    EndpointListTooLong,
     /// The state folder cannot be written: check its permissions and the free space of its file system.
     #[error(transparent)]
     Disk(#[from] io::Error),
@@ -58,6 +62,7 @@
     pub fn open_on(disk: Box<dyn Disk>, capacity: u64) -> io::Result<(Journal, Vec<Record>)> {
         // The process may have been killed during a compaction; the old log is still in use.
         let _ = disk.remove(COMPACTED_LOG_FILE);
+        endpoint_list::remove_unfinished(&*disk);
         let bytes = disk.read(LOG_FILE)?.unwrap_or_default();
         let replayed = replay(&bytes);
         let has_partial_record = replayed.length < bytes.len();
@@ -148,6 +153,37 @@
         result
     }
 
+    /// Reads the endpoint list that the folder's last process stored, and reserves its space. Logs a list that cannot be read
+    /// and returns `None`, as if there were none.
+    pub fn read_endpoint_list(&mut self) -> Option<StoredEndpointList> {
+        match endpoint_list::read(&*self.disk) {
+            Ok(stored) => {
+                let (list, size) = stored?;
+                self.limits.reserve_endpoint_list(size);
+                Some(list)
+            }
+            Err(error) => {
+                log::warn!("stored endpoint list ignored, the list in the configuration is used: {error}");
+                None
+            }
+        }
+    }
+
+    /// Replaces the stored endpoint list. Once this returns, the list survives a kill of the process.
+    ///
+    /// # Errors
+    ///
+    /// The disk fails, and the old list stays in use; or the list exceeds its share of the folder, and no list is stored.
+    pub fn write_endpoint_list(&mut self, list: &StoredEndpointList) -> Result<(), JournalError> {
+        let bytes = endpoint_list::encode(list)?;
+        if !self.limits.reserve_endpoint_list(bytes.len() as u64) {
+            // A list without the latest changes would mislead the next process.
+            endpoint_list::remove(&*self.disk);
+            return Err(JournalError::EndpointListTooLong);
+        }
+        Ok(endpoint_list::replace(&*self.disk, &bytes)?)
+    }
+
     fn write_compacted(&mut self, records: impl Iterator<Item = Record>) -> Result<(), JournalError> {
         let mut compacted = CompactedLog {
             writer: self.disk.create(COMPACTED_LOG_FILE)?,
--- /dev/null
+++ b/src/journal/endpoint_list.rs
@@ -0,0 +1,128 @@
+//! The endpoint list on disk: the list that discovery sent last. A process that starts on the folder continues from it, since
+//! the list in its configuration may be older.
+//!
+//! The list is one small file beside the journal, replaced atomically, because versions without it stop reading the journal at
+//! an unknown record. They ignore the file.
+//!
+//! | bytes | content |
+//! | --- | --- |
+//! | 1 | format version |
+//! | 4 | length of the payload, little-endian |
+//! | 4 | CRC-32 of the payload, little-endian |
+//! | rest | payload: a [`StoredEndpointList`] in postcard |
+use super::disk::Disk;
+use serde::{Deserialize, Serialize};
+use std::io;
+
+/// Name of the file in use.
+const LIST_FILE: &str = "endpoints";
+/// Name of a new list while it is written.
+const NEW_LIST_FILE: &str = "endpoints.new";
+/// Format version; incremented with each format that an older program cannot read.
+const FORMAT_VERSION: u8 = 1;
+/// Size of the header, in bytes: format version, length and checksum.
+const HEADER_BYTES: usize = 9;
+
+/// The endpoint list that a process received from discovery.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StoredEndpointList {
+    /// Address of the discovery server that numbered the revision.
+    pub source: String,
+    /// Revision of the list.
+    pub revision: u64,
+    /// Revision of the list in the configuration from which the process started.
+    pub configured_revision: u64,
+    /// The endpoints, without removed ones.
+    pub endpoints: Vec<StoredEndpoint>,
+}
+
+/// An endpoint of a [`StoredEndpointList`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StoredEndpoint {
+    /// Name of the endpoint in discovery.
+    pub uid: String,
+    /// Address on which it listens, `HOST:PORT`.
+    pub address: String,
+    /// Name of its zone; empty if the settings had none.
+    pub zone: String,
+    /// Name of its kind; empty if the settings had none.
+    pub kind: String,
+    /// Destination that it serves.
+    pub dest: u64,
+    /// Whether it accepts no new messages.
+    pub is_draining: bool,
+    /// Listed rate, in messages per second.
+    pub rate: f64,
+}
+
+/// Why the stored list cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ReadError {
+    /// The file is truncated, altered or of an unknown format.
+    #[error("the file is truncated, altered or of an unknown format")]
+    Corrupt,
+    /// The file cannot be read.
+    #[error(transparent)]
+    Disk(#[from] io::Error),
+}
+
+/// Encodes a list with its header.
+pub(super) fn encode(list: &StoredEndpointList) -> io::Result<Vec<u8>> {
+    let payload = postcard::to_stdvec(list).map_err(io::Error::other)?;
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + payload.len());
+    bytes.push(FORMAT_VERSION);
+    bytes.extend((payload.len() as u32).to_le_bytes());
+    bytes.extend(crc32fast::hash(&payload).to_le_bytes());
+    bytes.extend(payload);
+    Ok(bytes)
+}
+
+fn decode(bytes: &[u8]) -> Option<StoredEndpointList> {
+    let (header, payload) = bytes.split_at_checked(HEADER_BYTES)?;
+    let (version, numbers) = header.split_first()?;
+    let (length, checksum) = numbers.split_at_checked(size_of::<u32>())?;
+    let length = u32::from_le_bytes(length.try_into().ok()?);
+    let checksum = u32::from_le_bytes(checksum.try_into().ok()?);
+    let is_intact = *version == FORMAT_VERSION
+        && payload.len() == length as usize
+        && crc32fast::hash(payload) == checksum;
+    if !is_intact {
+        return None;
+    }
+    postcard::from_bytes(payload).ok()
+}
+
+/// Reads the list and the size of its file in bytes; `None` if there is no file.
+pub(super) fn read(disk: &dyn Disk) -> Result<Option<(StoredEndpointList, u64)>, ReadError> {
+    let Some(bytes) = disk.read(LIST_FILE)? else { return Ok(None) };
+    let list = decode(&bytes).ok_or(ReadError::Corrupt)?;
+    Ok(Some((list, bytes.len() as u64)))
+}
+
+/// Replaces the stored list.
+pub(super) fn replace(disk: &dyn Disk, bytes: &[u8]) -> io::Result<()> {
+    let result = write_new(disk, bytes);
+    if result.is_err() {
+        // An incomplete file takes up space.
+        remove_unfinished(disk);
+    }
+    result
+}
+
+fn write_new(disk: &dyn Disk, bytes: &[u8]) -> io::Result<()> {
+    disk.create(NEW_LIST_FILE)?.append(bytes)?;
+    disk.rename(NEW_LIST_FILE, LIST_FILE)
+}
+
+/// Removes the stored list, if there is one.
+pub(super) fn remove(disk: &dyn Disk) {
+    let _ = disk.remove(LIST_FILE);
+}
+
+/// Removes a list whose writing was interrupted, for example by a kill.
+pub(super) fn remove_unfinished(disk: &dyn Disk) {
+    let _ = disk.remove(NEW_LIST_FILE);
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/journal/limits.rs
+++ b/src/journal/limits.rs
@@ -14,6 +14,10 @@
 const BLOCK_BYTES: u64 = 512;
 /// Number of files in the folder: the journal, the compacted journal that replaces it, and the three files of a takeover.
 const FILE_COUNT: u64 = 5;
+/// Number of copies of the endpoint list while it is replaced.
+const ENDPOINT_LIST_COPIES: u64 = 2;
+/// Largest share of the folder for the copies of the endpoint list.
+const ENDPOINT_LIST_SHARE: f64 = 0.1;
 
 /// Size of an accepted message's record without its texts and body.
 const ACCEPTED_RECORD_BYTES: u64 = 76;
@@ -26,29 +30,45 @@
 
 /// Size limits that follow from the capacity of the folder.
 pub(super) struct Limits {
-    /// Bytes available for the contents of all files of the journal together.
-    available_bytes: f64,
+    /// Capacity of the folder, in bytes.
+    capacity: u64,
+    /// Bytes reserved for the endpoint list.
+    endpoint_list_bytes: u64,
 }
 
 impl Limits {
     /// Creates the limits for a folder with a capacity of `capacity` bytes.
     pub(super) fn new(capacity: u64) -> Limits {
-        Limits { available_bytes: capacity.saturating_sub(FILE_COUNT * BLOCK_BYTES) as f64 }
+        Limits { capacity, endpoint_list_bytes: 0 }
+    }
+
+    /// Reserves the bytes for an endpoint list of this size. Returns `false` and reserves nothing if the list exceeds its share
+    /// of the folder.
+    pub(super) fn reserve_endpoint_list(&mut self, size: u64) -> bool {
+        let bytes = ENDPOINT_LIST_COPIES * size.next_multiple_of(BLOCK_BYTES);
+        let fits = bytes as f64 <= self.capacity as f64 * ENDPOINT_LIST_SHARE;
+        self.endpoint_list_bytes = if fits { bytes } else { 0 };
+        fits
+    }
+
+    /// Returns the bytes available for the contents of all files of the journal together.
+    fn available_bytes(&self) -> f64 {
+        self.capacity.saturating_sub(FILE_COUNT * BLOCK_BYTES + self.endpoint_list_bytes) as f64
     }
 
     /// Returns the limit on the reservations of all messages, in bytes.
     pub(super) fn pending(&self) -> u64 {
-        (self.available_bytes * PENDING_SHARE) as u64
+        (self.available_bytes() * PENDING_SHARE) as u64
     }
 
     /// Returns the size up to which the journal accepts messages, in bytes. Also the limit of a compacted journal.
     pub(super) fn accepting(&self) -> u64 {
-        (self.available_bytes * ACCEPTING_SHARE) as u64
+        (self.available_bytes() * ACCEPTING_SHARE) as u64
     }
 
     /// Returns the size up to which the journal accepts all other records, in bytes.
     pub(super) fn usable(&self) -> u64 {
-        (self.available_bytes * USABLE_SHARE) as u64
+        (self.available_bytes() * USABLE_SHARE) as u64
     }
 }
 
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -8,10 +8,12 @@
 //! | `limits` | the journal's shares of the folder |
 //! | `disk` | file operations |
 //! | `append_log` | the open journal and its compaction |
+//! | `endpoint_list` | the endpoint list in a file of its own |
 #![warn(missing_docs)]
 mod append_log;
 mod codec;
 mod disk;
+mod endpoint_list;
 mod limits;
 mod record;
 
@@ -19,4 +21,5 @@
 pub use codec::encoded_len;
 pub(crate) use codec::{encode, replay};
 pub use disk::{open_disk, Disk, FileWriter, Folder};
+pub use endpoint_list::{StoredEndpoint, StoredEndpointList};
 pub use record::{AcceptedMessage, Completion, LateOutcome, Record};
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -83,6 +83,20 @@
             None => 1,
         }
     }
+
+    /// Returns the index of a zone, or 0 if its name is missing or unknown.
+    pub fn zone_index(&self, name: Option<&str>) -> usize {
+        index_of(&self.zones, name)
+    }
+
+    /// Returns the index of an endpoint kind, or 0 if its name is missing or unknown.
+    pub fn kind_index(&self, name: Option<&str>) -> usize {
+        index_of(&self.kinds, name)
+    }
+}
+
+fn index_of(names: &[String], name: Option<&str>) -> usize {
+    names.iter().position(|known| Some(known.as_str()) == name).unwrap_or(0)
 }
 
 impl Config {
