--- a/benches/held.rs
+++ b/benches/held.rs
@@ -175,7 +175,9 @@
                     }
                 }
                 Output::Callback(callback) => self.unacknowledged.push(callback.id),
-                Output::Answer(_, answer) => assert!(matches!(answer, Answer::Accepted | Answer::Reject(_))),
+                Output::Answer { answer, .. } => {
+                    assert!(matches!(answer, Answer::Accepted | Answer::Reject(_)))
+                }
                 Output::CancelAttempt { .. } | Output::CloseIdle(_) => {}
             }
         }
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -3,9 +3,8 @@
 use super::messages::{Answer, Output};
 use super::pending::journal_bytes;
 use super::Core;
-use crate::deduplication::PriorResult;
 use crate::interface::{Action, Event, MessageId, Nanos, Settings};
-use crate::journal::{self, Completion, Record};
+use crate::journal::{self, Record};
 use crate::metrics::MessageResult;
 use crate::plugins::Verdict;
 use crate::request::{RequestContext, RequestDetails};
@@ -23,19 +22,37 @@
     settings.retry_after.map(|longest| Nanos::from_secs(RETRY_AFTER_S).min(longest))
 }
 
+/// Returns the answers to the messages that the decision module refuses.
+fn refusals(actions: &[Action]) -> BTreeMap<MessageId, Answer> {
+    let refusal = |action: &Action| match action {
+        Action::Reject { id, after } => Some((*id, Answer::Reject(*after))),
+        Action::Fail(id) => Some((*id, Answer::Failed)),
+        _ => None,
+    };
+    actions.iter().filter_map(refusal).collect()
+}
+
 impl Core {
     /// Answers a request at once, or adds it as a message for the decision module and returns its id.
     pub(super) fn handle_submitted(
         &mut self, id: MessageId, mut context: RequestContext,
     ) -> Option<MessageId> {
         let class = context.class;
+        if let Some(answer) = self.answer_from_cache(&context) {
+            self.answer(id, id, class, answer);
+            return None;
+        }
+        if let Some(message) = self.message_of_same_name(&context) {
+            self.handle_repeat(id, message, context);
+            return None;
+        }
         if let Some(answer) = self.immediate_answer(&context) {
-            self.answer(id, class, answer);
+            self.answer(id, id, class, answer);
             return None;
         }
         let Verdict::Pass(tags) = self.plugins.on_request(&context, self.details(&context)) else {
             log::info!(message = context.name, dest = context.dest; "request rejected by a plug-in script");
-            self.answer(id, class, Answer::Reject(self.rejection_retry_after()));
+            self.answer(id, id, class, Answer::Reject(self.rejection_retry_after()));
             return None;
         };
         context.tags = tags;
@@ -48,9 +65,6 @@
 
     /// Returns the answer to a request that needs no decision; `None` if plug-in scripts and the decision module must see it.
     fn immediate_answer(&mut self, context: &RequestContext) -> Option<Answer> {
-        if let Some(answer) = self.answer_to_repeat(context) {
-            return Some(answer);
-        }
         if self.endpoints.has_no_destinations() {
             // Without an endpoint list the existing destinations are unknown, and a retry is harmless.
             return Some(Answer::Reject(self.rejection_retry_after()));
@@ -67,23 +81,6 @@
         None
     }
 
-    /// Returns the answer to a repeated request, recognized by its name or its idempotency key.
-    fn answer_to_repeat(&self, context: &RequestContext) -> Option<Answer> {
-        match self.deduplication.get(&context.name, &context.idempotency_key) {
-            Some(PriorResult::Delivered) => return Some(Answer::Delivered),
-            Some(PriorResult::Failed) => return Some(Answer::Failed),
-            None => {}
-        }
-        // The client repeats a request that is still pending, for example because its connection broke before the answer.
-        // A different message under the same name is rejected: it must not receive the answer of the pending one.
-        let pending = self.pending.by_name(&context.name)?;
-        if pending.context.same_message(context) {
-            Some(Answer::Accepted)
-        } else {
-            Some(Answer::Reject(self.rejection_retry_after()))
-        }
-    }
-
     /// Returns whether the table of messages and the journal have room for one more message.
     fn has_capacity(&mut self, context: &RequestContext) -> bool {
         if self.pending.open() >= self.settings.max_pending || self.journal.is_unavailable() {
@@ -114,36 +111,27 @@
         }
     }
 
-    /// Withdraws a message whose client disconnected. A complete message stays as it is.
-    pub(super) fn withdraw(&mut self, id: MessageId) {
-        if self.pending.get_open(id).is_some() {
-            self.events.push(Event::Withdrawn(id));
-            self.complete(id, Completion::Withdrawn);
-        }
-    }
-
-    /// Answers the requests on which the decision module decided in this step. Accepted messages are journalled first.
-    pub(super) fn answer_submitted(&mut self, submitted: &[MessageId], actions: &[Action]) {
-        let mut rejections = BTreeMap::new();
-        for action in actions {
-            match action {
-                Action::Reject { id, after } => drop(rejections.insert(*id, Answer::Reject(*after))),
-                Action::Fail(id) => drop(rejections.insert(*id, Answer::Failed)),
-                _ => {}
-            }
-        }
+    /// Answers the requests on which the decision module decided in this step. Accepted messages are journalled first. Returns
+    /// the answers to the requests that were refused.
+    pub(super) fn answer_submitted(
+        &mut self, submitted: &[MessageId], actions: &[Action],
+    ) -> BTreeMap<MessageId, Answer> {
+        let decisions = refusals(actions);
+        let mut refused = BTreeMap::new();
         for id in submitted {
             let Some(message) = self.pending.get(*id) else { continue };
             let class = message.context.class;
-            let answer = match rejections.get(id) {
-                Some(rejection) => *rejection,
+            let answer = match decisions.get(id) {
+                Some(refusal) => *refusal,
                 None => self.accept(*id),
             };
             if answer != Answer::Accepted {
+                refused.insert(*id, answer);
                 self.remove(*id);
             }
-            self.answer(*id, class, answer);
+            self.answer(*id, *id, class, answer);
         }
+        refused
     }
 
     /// Accepts a message if it can be journalled; otherwise withdraws it from the decision module and rejects it.
@@ -174,8 +162,8 @@
         written
     }
 
-    /// Answers a request. Counts the result of a message that ends with this answer.
-    fn answer(&mut self, id: MessageId, class: usize, answer: Answer) {
+    /// Answers a request for a message. Counts the result of a message that ends with this answer.
+    pub(super) fn answer(&mut self, request: MessageId, message: MessageId, class: usize, answer: Answer) {
         let result = match answer {
             Answer::Accepted => None,
             Answer::Delivered => Some(MessageResult::Fulfilled),
@@ -185,6 +173,9 @@
         if let Some(result) = result {
             self.metrics.record_result(class, result);
         }
-        self.outputs.push(Output::Answer(id, answer));
+        if answer == Answer::Accepted {
+            self.pending.add_client(message);
+        }
+        self.outputs.push(Output::Answer { request, message, answer });
     }
 }
--- a/src/core/endpoint_list/tests.rs
+++ b/src/core/endpoint_list/tests.rs
@@ -1,105 +1,11 @@
 //! Tests of the endpoint list across processes, in virtual time on an in-memory disk.
 use super::*;
-use crate::core::tests::{deployment, InMemoryDisk};
-use crate::core::{CoreOptions, Input, Output, Predecessor};
-use crate::journal::Journal;
-use crate::plugins::Plugins;
-use crate::request::RequestContext;
+use crate::core::test_forwarder::{configured, endpoint, moved, revision, Forwarder, DEST, SOURCE, STARTED};
+use crate::core::tests::deployment;
+use crate::core::Input;
 use rstest::rstest;
-use std::sync::Arc;
 
-const SOURCE: &str = "discovery:1";
 const OTHER_SOURCE: &str = "discovery:2";
-const CAPACITY: u64 = 1 << 20;
-const DEST: u64 = 7;
-const OTHER_DEST: u64 = 8;
-const STARTED: Nanos = Nanos(1_000_000_000_000);
-
-fn endpoint(uid: &str, address: &str, dest: u64) -> Endpoint {
-    let state = EndpointState::Running;
-    Endpoint { uid: uid.into(), address: address.into(), zone: 0, kind: 0, dest, state, rate: 50.0 }
-}
-
-fn revision(source: &str, number: u64) -> ListRevision {
-    ListRevision { source: source.into(), number }
-}
-
-/// The list in the configuration: the destination is at address `a`.
-fn configured(number: u64) -> EndpointList {
-    EndpointList { revision: revision(SOURCE, number), endpoints: vec![endpoint("s-1", "a", DEST)] }
-}
-
-/// A later list: another destination is at address `a`, and the destination at `b`.
-fn moved(source: &str, number: u64) -> Input {
-    let endpoints = vec![endpoint("s-2", "b", DEST), endpoint("s-3", "a", OTHER_DEST)];
-    Input::Endpoints { revision: revision(source, number), complete: true, endpoints }
-}
-
-/// A forwarder whose process can be killed and started again on its folder.
-struct Forwarder {
-    disk: InMemoryDisk,
-    deployment: Arc<DeploymentSettings>,
-    core: Core,
-    now: Nanos,
-}
-
-impl Forwarder {
-    fn start(delivery: ListDelivery) -> Forwarder {
-        let (disk, deployment) = (InMemoryDisk::default(), deployment());
-        let core = start_core(&disk, &deployment, configured(1), delivery, STARTED);
-        Forwarder { disk, deployment, core, now: STARTED }
-    }
-
-    fn restart(&mut self, configured: EndpointList, delivery: ListDelivery) {
-        self.disk = self.disk.after_kill();
-        self.now = self.now + 0.6;
-        self.core = start_core(&self.disk, &self.deployment, configured, delivery, self.now);
-    }
-
-    fn step(&mut self, inputs: Vec<Input>) -> Vec<String> {
-        let outputs = self.core.step(self.now, inputs);
-        let calls = outputs.into_iter().filter_map(|output| match output {
-            Output::Call(attempts) => Some(attempts),
-            _ => None,
-        });
-        calls.flatten().map(|attempt| attempt.address).collect()
-    }
-
-    fn message(&mut self, name: &str) -> Input {
-        let context = RequestContext {
-            name: name.into(),
-            origin: String::new(),
-            class: 1,
-            tenant: 0,
-            ordering_key: None,
-            dest: DEST,
-            deadline: self.now + 8.0,
-            idempotency_key: String::new(),
-            body: vec![7; 9].into(),
-            tags: Vec::new(),
-        };
-        Input::Submitted { id: self.core.next_id(), context }
-    }
-}
-
-fn start_core(
-    disk: &InMemoryDisk, deployment: &Arc<DeploymentSettings>, configured_list: EndpointList,
-    list_delivery: ListDelivery, now: Nanos,
-) -> Core {
-    let (journal, records) = Journal::open_on(Box::new(disk.clone()), CAPACITY).expect("the journal opens");
-    Core::new(CoreOptions {
-        deployment: deployment.clone(),
-        seed: 7,
-        static_endpoints: Vec::new(),
-        configured_list,
-        list_delivery,
-        plugins: Plugins::none(),
-        journal,
-        records,
-        predecessor: Predecessor::None,
-        now,
-    })
-}
 
 /// Guards against calls to an address that has passed to another destination: the restarted process sent by its configuration.
 #[test]
@@ -108,7 +14,7 @@
     forwarder.step(vec![moved(SOURCE, 2)]);
     forwarder.restart(configured(1), ListDelivery::Delayed);
     let message = forwarder.message("m1");
-    assert_eq!(forwarder.step(vec![message]), ["b"]);
+    assert_eq!(forwarder.called_addresses(vec![message]), ["b"]);
     assert_eq!(forwarder.core.list_revision(), &revision(SOURCE, 2));
 }
 
@@ -121,7 +27,7 @@
     forwarder.step(vec![Input::Endpoints { revision: revision(SOURCE, 3), complete: false, endpoints }]);
     forwarder.restart(configured(1), ListDelivery::Delayed);
     let message = forwarder.message("m1");
-    assert_eq!(forwarder.step(vec![message]), ["c"]);
+    assert_eq!(forwarder.called_addresses(vec![message]), ["c"]);
 }
 
 /// Guards against calls by an outdated list: the address passed to another destination while no process ran, and the restarted
@@ -131,23 +37,23 @@
     let mut forwarder = Forwarder::start(ListDelivery::Delayed);
     let accepted = forwarder.message("m1");
     // The process is killed before its first attempt has a connection.
-    assert_eq!(forwarder.step(vec![accepted]), ["a"]);
+    assert_eq!(forwarder.called_addresses(vec![accepted]), ["a"]);
     forwarder.restart(configured(1), ListDelivery::Immediate);
-    assert_eq!(forwarder.step(Vec::new()), Vec::<String>::new(), "before the answer");
+    assert_eq!(forwarder.called_addresses(Vec::new()), Vec::<String>::new(), "before the answer");
     let submitted = forwarder.message("m2");
-    assert_eq!(forwarder.step(vec![submitted]), Vec::<String>::new(), "before the answer");
-    assert_eq!(forwarder.step(vec![moved(SOURCE, 2)]), ["b", "b"], "with the answer");
+    assert_eq!(forwarder.called_addresses(vec![submitted]), Vec::<String>::new(), "before the answer");
+    assert_eq!(forwarder.called_addresses(vec![moved(SOURCE, 2)]), ["b", "b"], "with the answer");
 }
 
 #[test]
 fn attempts_start_by_the_last_known_list_if_discovery_stays_silent() {
     let mut forwarder = Forwarder::start(ListDelivery::Immediate);
     let message = forwarder.message("m1");
-    assert_eq!(forwarder.step(vec![message]), Vec::<String>::new());
+    assert_eq!(forwarder.called_addresses(vec![message]), Vec::<String>::new());
     let wake = forwarder.core.next_wake().expect("a wake-up");
     assert!(wake <= STARTED + CONFIRMATION_TIMEOUT_S, "{wake:?}");
     forwarder.now = STARTED + CONFIRMATION_TIMEOUT_S;
-    assert_eq!(forwarder.step(Vec::new()), ["a"]);
+    assert_eq!(forwarder.called_addresses(Vec::new()), ["a"]);
 }
 
 /// A failed disk must not end the wait for the list, nor the list the wait for the disk.
@@ -159,10 +65,10 @@
     forwarder.disk.fail_all();
     let rejected = forwarder.message("m2");
     forwarder.step(vec![rejected]);
-    assert_eq!(forwarder.step(vec![moved(SOURCE, 2)]), Vec::<String>::new(), "the disk fails");
+    assert_eq!(forwarder.called_addresses(vec![moved(SOURCE, 2)]), Vec::<String>::new(), "the disk fails");
     forwarder.disk.recover();
     forwarder.now = forwarder.now + 1.5;
-    assert_eq!(forwarder.step(Vec::new()), ["b"]);
+    assert_eq!(forwarder.called_addresses(Vec::new()), ["b"]);
     forwarder.restart(configured(1), ListDelivery::Delayed);
     assert_eq!(forwarder.core.list_revision(), &revision(SOURCE, 2), "stored once the disk had recovered");
 }
@@ -179,10 +85,10 @@
     let record = forwarder.core.late_retry_after(forwarder.now, host, wait).expect("a record");
     forwarder.restart(configured(1), ListDelivery::Delayed);
     let message = forwarder.message("m1");
-    let calls = forwarder.step(vec![Input::PredecessorRecords(vec![record]), message]);
+    let calls = forwarder.called_addresses(vec![Input::PredecessorRecords(vec![record]), message]);
     assert_eq!(calls, Vec::<String>::new(), "within the wait");
     forwarder.now = forwarder.now + 1.0;
-    assert_eq!(forwarder.step(Vec::new()), ["b"], "after the wait");
+    assert_eq!(forwarder.called_addresses(Vec::new()), ["b"], "after the wait");
 }
 
 /// The process that has released the folder must not write there: its successor owns the list.
@@ -209,7 +115,7 @@
     forwarder.step(vec![moved(stored_source, 9)]);
     forwarder.restart(configured(next), ListDelivery::Delayed);
     let message = forwarder.message("m1");
-    assert_eq!(forwarder.step(vec![message]), [if is_stored_used { "b" } else { "a" }]);
+    assert_eq!(forwarder.called_addresses(vec![message]), [if is_stored_used { "b" } else { "a" }]);
 }
 
 /// A discovery server that has lost its data starts its numbers again: they are lower than that in the configuration.
@@ -220,7 +126,7 @@
     forwarder.step(vec![moved(SOURCE, 2)]);
     forwarder.restart(configured(5), ListDelivery::Delayed);
     let message = forwarder.message("m1");
-    assert_eq!(forwarder.step(vec![message]), ["b"]);
+    assert_eq!(forwarder.called_addresses(vec![message]), ["b"]);
 }
 
 /// Guards against zones and kinds that are stored by their place in the settings, which another version may order differently.
--- a/src/core/messages.rs
+++ b/src/core/messages.rs
@@ -71,8 +71,8 @@
         /// The request.
         context: RequestContext,
     },
-    /// The client disconnected before its answer.
-    Withdrawn(MessageId),
+    /// A client disconnected before its [`Answer::Accepted`] for this message. Follows the [`Output::Answer`] at once.
+    ClientDisconnected(MessageId),
     /// An attempt ended. Each attempt of an [`Output::Call`] ends exactly once.
     AttemptEnded {
         /// The message.
@@ -139,9 +139,17 @@
 }
 
 /// An effect that the caller of the core carries out.
+#[derive(Debug)]
 pub enum Output {
     /// Answer a request.
-    Answer(MessageId, Answer),
+    Answer {
+        /// Id under which the request was submitted.
+        request: MessageId,
+        /// The message that the request is for: an earlier one if the request is a repeat.
+        message: MessageId,
+        /// The answer.
+        answer: Answer,
+    },
     /// Start a call to one endpoint, with one attempt or a batch.
     Call(Vec<Attempt>),
     /// Cancel an attempt; it still ends with an [`Input::AttemptEnded`].
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! | module | concern |
 //! | --- | --- |
 //! | `admission` | requests and their answers |
+//! | `repeats` | requests that are sent again |
 //! | `pending` | the table of pending messages |
 //! | `attempts`, `in_flight` | attempts and their state |
 //! | `ordering` | attempts that wait for their ordering key |
@@ -26,10 +27,13 @@
 mod messages;
 mod ordering;
 mod pending;
+mod repeats;
 mod restart;
 mod suspensions;
 mod takeover;
 #[cfg(test)]
+pub(crate) mod test_forwarder;
+#[cfg(test)]
 mod tests;
 
 pub use admission::rejection_retry_after;
@@ -49,6 +53,7 @@
 use journal_writer::JournalWriter;
 use ordering::OrderingKeys;
 use pending::PendingMessages;
+use repeats::Repeat;
 use std::sync::Arc;
 use takeover::PredecessorCalls;
 
@@ -97,6 +102,8 @@
     metrics: Arc<Metrics>,
     journal: JournalWriter,
     pending: PendingMessages,
+    /// Repeated requests of the current step.
+    repeats: Vec<Repeat>,
     ordering: OrderingKeys,
     deduplication: DeduplicationCache,
     endpoints: EndpointRegistry,
@@ -146,6 +153,7 @@
             deployment,
             journal: JournalWriter::new(journal),
             pending: PendingMessages::default(),
+            repeats: Vec::new(),
             ordering: OrderingKeys::default(),
             deduplication: DeduplicationCache::default(),
             endpoints: EndpointRegistry::new(static_endpoints),
@@ -210,10 +218,11 @@
         self.update_pause();
         self.advance_predecessor_calls();
         let actions = self.decide();
-        self.answer_submitted(&submitted, &actions);
+        let refused = self.answer_submitted(&submitted, &actions);
         for action in actions {
             self.execute_action(action);
         }
+        self.answer_repeats(&refused);
         self.start_deferred_attempts();
         self.retire_endpoints();
         if self.journal.needs_rewrite(now, 0) {
@@ -231,7 +240,7 @@
             Input::Endpoints { revision, complete, endpoints } => {
                 self.update_endpoints(revision, complete, endpoints);
             }
-            Input::Withdrawn(id) => self.withdraw(id),
+            Input::ClientDisconnected(id) => self.client_disconnected(id),
             Input::AttemptEnded { id, attempt, outcome, over, report } => {
                 self.attempt_ended(id, attempt, outcome, over, report);
             }
--- a/src/core/pending.rs
+++ b/src/core/pending.rs
@@ -11,6 +11,8 @@
 /// A message that is open, or complete with an attempt in flight or an unacknowledged callback.
 pub(super) struct PendingMessage {
     pub(super) context: Arc<RequestContext>,
+    /// Number of requests for the message that were answered with 202 and whose clients were connected then.
+    pub(super) clients: usize,
     /// Number of attempts so far, including the one in flight.
     pub(super) attempts: u32,
     in_flight: Option<InFlight>,
@@ -145,8 +147,16 @@
         self.get(id).filter(|m| m.is_open())
     }
 
-    pub(super) fn by_name(&self, name: &str) -> Option<&PendingMessage> {
-        self.get(*self.by_name.get(name)?)
+    /// Returns the id of the latest message of this name.
+    pub(super) fn id_by_name(&self, name: &str) -> Option<MessageId> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Counts a client that is told that its message is accepted.
+    pub(super) fn add_client(&mut self, id: MessageId) {
+        if let Some(message) = self.messages.get_mut(&id) {
+            message.clients += 1;
+        }
     }
 
     /// Iterates over the messages in the order of their ids.
@@ -183,6 +193,7 @@
         self.by_name.insert(context.name.clone(), id);
         let message = PendingMessage {
             context: Arc::new(context),
+            clients: 0,
             attempts: 0,
             in_flight: None,
             first_possible_run: None,
--- a/src/core/restart.rs
+++ b/src/core/restart.rs
@@ -48,6 +48,8 @@
         self.pending.insert(id, context);
         if let Some(message) = self.pending.get_mut(id) {
             message.in_journal = true;
+            // The last process may have told the client that the message is accepted.
+            message.clients = 1;
         }
     }
 
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -318,7 +318,7 @@
             endpoints: endpoints.collect(),
         };
         let outputs = core.step(now, vec![endpoint_list]);
-        assert!(outputs.iter().all(|o| !matches!(o, Output::Answer(..))));
+        assert!(outputs.iter().all(|o| !matches!(o, Output::Answer { .. })));
         // The first step of the simulation returns these outputs.
         core.outputs = outputs;
         core
@@ -384,8 +384,8 @@
         inputs.extend(acknowledged.map(|a| Input::CallbackAcknowledged(a.1)));
         for output in self.core.step(now, inputs) {
             match output {
-                Output::Answer(id, Answer::Accepted) => {
-                    let (name, class) = submitted[&id].clone();
+                Output::Answer { request, answer: Answer::Accepted, .. } => {
+                    let (name, class) = submitted[&request].clone();
                     let is_accepted = |r: &Record| matches!(r, Record::Accepted(m) if m.name == name);
                     assert!(
                         self.disk.folder.journal_records().iter().any(is_accepted),
@@ -394,7 +394,7 @@
                     );
                     self.accepted.insert(name, class);
                 }
-                Output::Answer(..) | Output::CloseIdle(_) => {}
+                Output::Answer { .. } | Output::CloseIdle(_) => {}
                 Output::Call(attempts) => attempts.iter().for_each(|attempt| self.connect(attempt)),
                 Output::CancelAttempt { id, attempt } => {
                     let mut cancelled =
--- a/src/exchange/task.rs
+++ b/src/exchange/task.rs
@@ -183,7 +183,7 @@
             }
             Command::SendLastAnswers => {
                 let outputs = std::mem::take(&mut self.last_outputs);
-                // The withdrawals are ignored: messages of clients that have disconnected belong to the successor now.
+                // The disconnects are ignored: messages of clients that have disconnected belong to the successor now.
                 self.execute(outputs);
             }
             Command::ReleaseJournal { late, owner_lock, reply } => {
@@ -200,12 +200,12 @@
     fn step(&mut self, inputs: Vec<Input>) {
         let outputs = self.core.lock().step(clock::now(), inputs);
         self.apply_suspensions();
-        let withdrawals = self.execute(outputs);
-        if withdrawals.is_empty() {
+        let disconnects = self.execute(outputs);
+        if disconnects.is_empty() {
             return;
         }
-        let outputs = self.core.lock().step(clock::now(), withdrawals);
-        // Withdrawals that this second step causes are ignored, which bounds the work of a tick.
+        let outputs = self.core.lock().step(clock::now(), disconnects);
+        // This second step answers no request, so it causes no further disconnects.
         self.execute(outputs);
     }
 
@@ -282,16 +282,19 @@
         if self.core.lock().calls_in_flight() == 0 {
             released.late = None;
         }
-        // Withdrawals are ignored: the requests of disconnected clients were rejected.
+        // There are no disconnects to handle: all requests were rejected.
         self.execute(outputs);
     }
 
-    /// Executes outputs of the core. Returns a withdrawal for each client that disconnected before its answer.
+    /// Executes outputs of the core. Returns an input for each client that disconnected before it was told that its message is
+    /// accepted.
     fn execute(&mut self, outputs: Vec<Output>) -> Vec<Input> {
-        let mut withdrawals = Vec::new();
+        let mut disconnects = Vec::new();
         for output in outputs {
             match output {
-                Output::Answer(id, answer) => withdrawals.extend(self.answer(id, answer)),
+                Output::Answer { request, message, answer } => {
+                    disconnects.extend(self.answer(request, message, answer));
+                }
                 Output::Call(attempts) => self.send_upstream(UpstreamCommand::Call(attempts)),
                 Output::CancelAttempt { id: message, attempt } => {
                     self.send_upstream(UpstreamCommand::CancelAttempt(AttemptId { message, attempt }));
@@ -300,13 +303,15 @@
                 Output::Callback(callback) => self.send_callback(callback),
             }
         }
-        withdrawals
+        disconnects
     }
 
-    /// Answers a client. Returns a withdrawal if the client has disconnected.
-    fn answer(&mut self, id: MessageId, answer: Answer) -> Option<Input> {
-        let reply = self.answers.remove(&id)?;
-        reply.send(answer).is_err().then_some(Input::Withdrawn(id))
+    /// Answers a client. Returns an input for the core if the client has disconnected and will not learn that its message is
+    /// accepted.
+    fn answer(&mut self, request: MessageId, message: MessageId, answer: Answer) -> Option<Input> {
+        let reply = self.answers.remove(&request)?;
+        let is_undelivered = reply.send(answer).is_err();
+        (is_undelivered && answer == Answer::Accepted).then_some(Input::ClientDisconnected(message))
     }
 
     fn send_upstream(&self, command: UpstreamCommand) {
@@ -333,7 +338,8 @@
     for input in inputs {
         match input {
             Input::Submitted { id, .. } => {
-                outputs.push(Output::Answer(id, Answer::Reject(core.rejection_retry_after())));
+                let answer = Answer::Reject(core.rejection_retry_after());
+                outputs.push(Output::Answer { request: id, message: id, answer });
             }
             Input::AttemptEnded { id, attempt, outcome, over, .. } => {
                 records.extend(core.late_outcome(id, attempt, outcome, over));
@@ -345,7 +351,7 @@
             Input::Endpoints { .. }
             | Input::PeerObservations(_)
             | Input::CallbackAcknowledged(_)
-            | Input::Withdrawn(_)
+            | Input::ClientDisconnected(_)
             | Input::PredecessorRecords(_)
             | Input::PredecessorExited => {}
         }
--- a/src/exchange/tests.rs
+++ b/src/exchange/tests.rs
@@ -1,5 +1,9 @@
-//! Tests of the phases of a graceful shutdown.
+//! Tests of the exchange task, and of the phases of a graceful shutdown.
 use super::shutdown::{next_check, ShutdownPhase, SHUTDOWN_TIMEOUT};
+use super::{AttemptId, Exchange, UpstreamCommand};
+use crate::clock;
+use crate::core::test_forwarder::{request, Forwarder};
+use crate::core::{Answer, ListDelivery};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -36,3 +40,25 @@
     }
     assert!(elapsed > SHUTDOWN_TIMEOUT);
 }
+
+/// Guards against lost messages (issue 57): the connection of a request ended, and the same request came again on another one before
+/// the first was answered. The second one was answered with 202, and the message was withdrawn with the first.
+#[tokio::test]
+async fn a_message_outlives_its_first_client_if_the_request_came_again() {
+    let (exchange, mut outputs) = Exchange::new(Forwarder::start(ListDelivery::Delayed).core);
+    // Polled once, so that the request is submitted, and dropped as when its client disconnects.
+    tokio::select! {
+        biased;
+        answer = exchange.submit(request("m1", clock::now())) => panic!("answered before a step: {answer:?}"),
+        () = std::future::ready(()) => {}
+    }
+    assert_eq!(exchange.submit(request("m1", clock::now())).await, Answer::Accepted);
+    let attempt = loop {
+        match outputs.upstream_commands.recv().await {
+            Some(UpstreamCommand::Call(attempts)) => break AttemptId::from(&attempts[0]),
+            Some(_) => {}
+            None => panic!("the exchange task has ended"),
+        }
+    };
+    assert!(exchange.may_send(attempt), "the accepted message is still to be delivered");
+}
