The destinations ever listed outlive the process with the endpoint list

Cause: a process that starts with the stored list takes its destinations from that list alone.

Change: the stored list has the destinations ever listed, and those in the configuration count at every start.

--- a/src/core/endpoint_list.rs
+++ b/src/core/endpoint_list.rs
@@ -105,11 +105,17 @@
         let stored = self.journal.read_endpoint_list();
         let stored = stored.filter(|stored| !is_configured_later(&configured.revision, stored));
         let is_stored = stored.is_some();
+        // A destination may be without an endpoint for a while; its messages are accepted and wait.
+        self.endpoints.add_destinations(configured.endpoints.iter().map(|endpoint| endpoint.dest));
         let list = match stored {
-            Some(stored) => EndpointList {
-                revision: ListRevision { source: stored.source, number: stored.revision },
-                endpoints: stored.endpoints.into_iter().map(|e| to_endpoint(&self.deployment, e)).collect(),
-            },
+            Some(stored) => {
+                self.endpoints.add_destinations(stored.destinations);
+                let endpoints = stored.endpoints.into_iter().map(|e| to_endpoint(&self.deployment, e));
+                EndpointList {
+                    revision: ListRevision { source: stored.source, number: stored.revision },
+                    endpoints: endpoints.collect(),
+                }
+            }
             None => configured,
         };
         log::info!(revision = list.revision.number, stored = is_stored; "endpoint list at the start");
@@ -143,6 +149,7 @@
             revision: self.list.revision.number,
             configured_revision: self.list.configured_number,
             endpoints: listed.map(|endpoint| to_stored(&self.deployment, endpoint)).collect(),
+            destinations: self.endpoints.destinations().collect(),
         };
         self.journal.store_endpoint_list(self.now, &list);
     }
--- a/src/core/endpoint_list/tests.rs
+++ b/src/core/endpoint_list/tests.rs
@@ -1,11 +1,16 @@
 //! Tests of the endpoint list across processes, in virtual time on an in-memory disk.
 use super::*;
-use crate::core::test_forwarder::{configured, endpoint, moved, revision, Forwarder, DEST, SOURCE, STARTED};
+use crate::core::test_forwarder::{
+    configured, endpoint, moved, request, revision, Forwarder, DEST, SOURCE, STARTED,
+};
 use crate::core::tests::deployment;
-use crate::core::Input;
+use crate::core::{Answer, Input, Output};
+use crate::request::RequestContext;
 use rstest::rstest;
 
 const OTHER_SOURCE: &str = "discovery:2";
+/// The destination that [`moved`] brings.
+const OTHER_DEST: u64 = DEST + 1;
 
 /// Guards against calls to an address that has passed to another destination: the restarted process sent by its configuration.
 #[test]
@@ -30,6 +35,32 @@
     assert_eq!(forwarder.called_addresses(vec![message]), ["c"]);
 }
 
+/// Guards against messages that are refused for good: a restart falls between the removal of a destination's only endpoint and the
+/// arrival of the next one, and the destination counted as one that never had an endpoint.
+#[rstest]
+#[case::in_the_configuration(DEST)]
+#[case::learnt_from_discovery(OTHER_DEST)]
+fn a_destination_that_has_lost_its_endpoint_stays_known_after_a_restart(#[case] dest: u64) {
+    let mut forwarder = Forwarder::start(ListDelivery::Delayed);
+    forwarder.step(vec![moved(SOURCE, 2)]);
+    let removed = ["s-2", "s-3"].map(|uid| {
+        let dest = if uid == "s-2" { DEST } else { OTHER_DEST };
+        Endpoint { state: EndpointState::Removed, ..endpoint(uid, "b", dest) }
+    });
+    let endpoints = removed.into_iter().filter(|e| e.dest == dest).collect();
+    forwarder.step(vec![Input::Endpoints { revision: revision(SOURCE, 3), complete: false, endpoints }]);
+    forwarder.restart(configured(1), ListDelivery::Delayed);
+    let context = RequestContext { dest, ..request("m1", forwarder.now) };
+    let id = forwarder.core.next_id();
+    let outputs = forwarder.step(vec![Input::Submitted { id, context }]);
+    let is_accepted = |output: &Output| matches!(output, Output::Answer { answer: Answer::Accepted, .. });
+    assert!(outputs.iter().any(is_accepted), "{outputs:?}");
+    assert!(!outputs.iter().any(|output| matches!(output, Output::Call(_))), "{outputs:?}");
+    let endpoints = vec![endpoint("s-9", "z", dest)];
+    let arrived = Input::Endpoints { revision: revision(SOURCE, 4), complete: false, endpoints };
+    assert_eq!(forwarder.called_addresses(vec![arrived]), ["z"]);
+}
+
 /// Guards against calls by an outdated list: the address passed to another destination while no process ran, and the restarted
 /// process sent before it had read the answer of discovery.
 #[test]
--- a/src/core/endpoints.rs
+++ b/src/core/endpoints.rs
@@ -49,6 +49,16 @@
         self.destinations.contains(&dest)
     }
 
+    /// Returns the destinations of all endpoints that were ever listed, in ascending order.
+    pub(super) fn destinations(&self) -> impl Iterator<Item = u64> + '_ {
+        self.destinations.iter().copied()
+    }
+
+    /// Adds destinations of endpoints that were listed before this process started.
+    pub(super) fn add_destinations(&mut self, destinations: impl IntoIterator<Item = u64>) {
+        self.destinations.extend(destinations);
+    }
+
     /// Returns whether an endpoint of this name is listed, suspended or among the remembered retired ones.
     pub(super) fn is_known(&self, uid: &str) -> bool {
         self.ids.contains_key(uid)
--- a/src/journal/endpoint_list.rs
+++ b/src/journal/endpoint_list.rs
@@ -34,6 +34,8 @@
     pub configured_revision: u64,
     /// The endpoints, without removed ones.
     pub endpoints: Vec<StoredEndpoint>,
+    /// Destinations of all endpoints that were ever listed, in ascending order.
+    pub destinations: Vec<u64>,
 }
 
 /// An endpoint of a [`StoredEndpointList`].
--- a/src/journal/endpoint_list/tests.rs
+++ b/src/journal/endpoint_list/tests.rs
@@ -21,6 +21,7 @@
         revision: 43,
         configured_revision: 41,
         endpoints: (0..endpoints).map(endpoint).collect(),
+        destinations: vec![3, 300],
     }
 }
 
@@ -32,9 +33,9 @@
 #[test]
 fn a_list_has_these_bytes() {
     let expected = [
-        1, 51, 0, 0, 0, 220, 242, 97, 164, 13, 49, 48, 46, 50, 46, 48, 46, 49, 58, 56, 53, 48, 48, 43, 41, 1,
+        1, 55, 0, 0, 0, 143, 167, 40, 18, 13, 49, 48, 46, 50, 46, 48, 46, 49, 58, 56, 53, 48, 48, 43, 41, 1,
         3, 115, 45, 48, 14, 49, 48, 46, 49, 46, 48, 46, 49, 56, 58, 57, 48, 48, 48, 1, 97, 2, 109, 50, 3, 0,
-        0, 0, 0, 0, 0, 0, 68, 64,
+        0, 0, 0, 0, 0, 0, 68, 64, 2, 3, 172, 2,
     ];
     assert_eq!(encode(&list(1)).expect("encoded"), expected);
     assert_eq!(decode(&expected), Some(list(1)));
