--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,8 @@
 mod suspensions;
 mod takeover;
 #[cfg(test)]
+mod test_disk;
+#[cfg(test)]
 pub(crate) mod test_forwarder;
 #[cfg(test)]
 mod tests;
--- a/src/core/test_forwarder.rs
+++ b/src/core/test_forwarder.rs
@@ -1,5 +1,6 @@
 //! Helper of the unit tests: a forwarder in virtual time on an in-memory disk, whose process can be killed and started again.
-use super::tests::{deployment, InMemoryDisk};
+use super::test_disk::InMemoryDisk;
+use super::tests::deployment;
 use super::{
     Core, CoreOptions, Endpoint, EndpointList, Input, ListDelivery, ListRevision, Output, Predecessor,
 };
