A change of the endpoint list is appended to the stored list

Cause: one file, replaced as a whole.

Change: the file begins with a complete list, and changes are appended; the list is written anew once the file has grown by a quarter and 4 KB, after a failed write, and by each process at its first update.

The file is opened for each change.

--- a/src/core/endpoint_list.rs
+++ b/src/core/endpoint_list.rs
@@ -7,7 +7,7 @@
 use super::messages::Endpoint;
 use super::Core;
 use crate::interface::{EndpointState, Event, Nanos};
-use crate::journal::{StoredEndpoint, StoredEndpointList};
+use crate::journal::{StoredEndpoint, StoredEndpointList, StoredEndpointState, StoredListChange};
 use crate::settings::DeploymentSettings;
 
 /// How long a process waits for the first answer of discovery before its first attempt, in seconds. As long as a process may
@@ -80,7 +80,11 @@
         uid: stored.uid,
         address: stored.address,
         dest: stored.dest,
-        state: if stored.is_draining { EndpointState::Draining } else { EndpointState::Running },
+        state: match stored.state {
+            StoredEndpointState::Running => EndpointState::Running,
+            StoredEndpointState::Draining => EndpointState::Draining,
+            StoredEndpointState::Removed => EndpointState::Removed,
+        },
         rate: stored.rate,
     }
 }
@@ -94,7 +98,11 @@
         zone: name_of(&deployment.zones, endpoint.zone),
         kind: name_of(&deployment.kinds, endpoint.kind),
         dest: endpoint.dest,
-        is_draining: endpoint.state == EndpointState::Draining,
+        state: match endpoint.state {
+            EndpointState::Running => StoredEndpointState::Running,
+            EndpointState::Draining => StoredEndpointState::Draining,
+            EndpointState::Removed => StoredEndpointState::Removed,
+        },
         rate: endpoint.rate,
     }
 }
@@ -128,13 +136,19 @@
     pub(super) fn update_endpoints(
         &mut self, revision: ListRevision, complete: bool, endpoints: Vec<Endpoint>,
     ) {
+        self.list.awaited_until = None;
         let is_change = !endpoints.is_empty() || revision != self.list.revision;
+        let is_increment = !complete && revision.source == self.list.revision.source;
+        let change = StoredListChange {
+            revision: revision.number,
+            endpoints: endpoints.iter().map(|endpoint| to_stored(&self.deployment, endpoint)).collect(),
+        };
         self.list.revision = revision;
-        self.list.awaited_until = None;
         self.apply_endpoints(complete, endpoints);
-        if is_change {
-            self.store_endpoint_list();
+        if !is_change || is_increment && self.journal.store_endpoint_list_change(&change) {
+            return;
         }
+        self.store_endpoint_list();
     }
 
     fn apply_endpoints(&mut self, complete: bool, endpoints: Vec<Endpoint>) {
--- a/src/core/endpoint_list/tests.rs
+++ b/src/core/endpoint_list/tests.rs
@@ -104,6 +104,32 @@
     assert_eq!(forwarder.core.list_revision(), &revision(SOURCE, 2), "stored once the disk had recovered");
 }
 
+/// Guards against a list without a change that could not be stored: no later change may be appended in its place.
+#[test]
+fn a_change_that_could_not_be_stored_is_stored_once_the_disk_recovers() {
+    let change = |number: u64, uid: &str, address: &str| Input::Endpoints {
+        revision: revision(SOURCE, number),
+        complete: false,
+        endpoints: vec![endpoint(uid, address, DEST)],
+    };
+    for is_followed_by_another in [false, true] {
+        let mut forwarder = Forwarder::start(ListDelivery::Delayed);
+        forwarder.step(vec![moved(SOURCE, 2)]);
+        forwarder.disk.fail_all();
+        forwarder.step(vec![change(3, "s-2", "c")]);
+        forwarder.disk.recover();
+        if is_followed_by_another {
+            forwarder.step(vec![change(4, "s-3", "d")]);
+        } else {
+            forwarder.now = forwarder.core.next_wake().expect("a retry");
+            forwarder.step(Vec::new());
+        }
+        forwarder.restart(configured(1), ListDelivery::Delayed);
+        let host = forwarder.core.endpoints.id("s-2").expect("a listed endpoint");
+        assert_eq!(forwarder.core.endpoints.get(host).expect("listed").address, "c");
+    }
+}
+
 /// Guards against calls within a `Retry-After` that the predecessor received: the successor dropped what it was told of endpoints
 /// that are not in its configuration.
 #[test]
--- a/src/core/journal_writer.rs
+++ b/src/core/journal_writer.rs
@@ -13,7 +13,7 @@
 //! The number of deferred records is bounded: while the journal cannot be written, nothing is accepted and no attempt starts,
 //! so each pending message adds at most the end of its attempt, its completion and its acknowledgement.
 use super::messages::Output;
-use crate::journal::{Journal, JournalError, Record, StoredEndpointList};
+use crate::journal::{Journal, JournalError, Record, StoredEndpointList, StoredListChange};
 use crate::Nanos;
 use std::collections::VecDeque;
 
@@ -106,6 +106,12 @@
         }
     }
 
+    /// Stores changes of the endpoint list for the next process. Returns `false` if the whole list must be stored instead.
+    pub(super) fn store_endpoint_list_change(&mut self, change: &StoredListChange) -> bool {
+        // After a failure the whole list is stored, which also reports a further failure.
+        self.released || self.journal.append_endpoint_list_change(change).unwrap_or(false)
+    }
+
     /// Returns whether it is time to store the endpoint list again after a failure.
     pub(super) fn endpoint_list_retry_due(&self, now: Nanos) -> bool {
         !self.released && self.endpoint_list_retry_at.is_some_and(|at| at <= now)
--- a/src/journal/append_log.rs
+++ b/src/journal/append_log.rs
@@ -4,7 +4,7 @@
 //! truncates the incomplete record before it appends anything, and removes the compacted log: the old log stays in use.
 use super::codec::{encode, replay};
 use super::disk::{open_disk, Disk, FileWriter};
-use super::endpoint_list::{self, StoredEndpointList};
+use super::endpoint_list::{self, StoredEndpointList, StoredListChange};
 use super::limits::{self, Limits};
 use super::record::Record;
 use std::io;
@@ -41,6 +41,16 @@
     /// Whether bytes of an incomplete record may follow the complete ones.
     has_partial_record: bool,
     limits: Limits,
+    /// The endpoint list that this process has written; `None` before that and after a failure.
+    endpoint_list: Option<EndpointListFile>,
+}
+
+/// The size of the endpoint list's file.
+struct EndpointListFile {
+    /// Length of the file, in bytes.
+    length: u64,
+    /// Length up to which changes are appended, in bytes.
+    limit: u64,
 }
 
 impl Journal {
@@ -72,7 +82,7 @@
         let writer = disk.open_append(LOG_FILE)?;
         let length = replayed.length as u64;
         let limits = Limits::new(capacity);
-        let mut journal = Journal { disk, writer, length, has_partial_record, limits };
+        let mut journal = Journal { disk, writer, length, has_partial_record, limits, endpoint_list: None };
         if let Err(error) = journal.truncate_partial_record() {
             log::error!("journal: cannot truncate its torn tail: {error}");
         }
@@ -175,13 +185,36 @@
     ///
     /// The disk fails, and the old list stays in use; or the list exceeds its share of the folder, and no list is stored.
     pub fn write_endpoint_list(&mut self, list: &StoredEndpointList) -> Result<(), JournalError> {
+        self.endpoint_list = None;
         let bytes = endpoint_list::encode(list)?;
-        if !self.limits.reserve_endpoint_list(bytes.len() as u64) {
+        let length = bytes.len() as u64;
+        if !self.limits.reserve_endpoint_list(length) {
             // A list without the latest changes would mislead the next process.
             endpoint_list::remove(&*self.disk);
             return Err(JournalError::EndpointListTooLong);
         }
-        Ok(endpoint_list::replace(&*self.disk, &bytes)?)
+        endpoint_list::replace(&*self.disk, &bytes)?;
+        let limit = limits::endpoint_list_limit(length);
+        self.endpoint_list = Some(EndpointListFile { length, limit });
+        Ok(())
+    }
+
+    /// Appends changes to the endpoint list that this process has written. Returns `false` if the whole list must be written
+    /// instead: this process has not written it, the last write failed, or the file has grown to its limit.
+    ///
+    /// # Errors
+    ///
+    /// The disk fails. The changes may be incomplete in the file.
+    pub fn append_endpoint_list_change(&mut self, change: &StoredListChange) -> Result<bool, JournalError> {
+        let Some(mut file) = self.endpoint_list.take() else { return Ok(false) };
+        let bytes = endpoint_list::encode(change)?;
+        file.length += bytes.len() as u64;
+        if file.length > file.limit {
+            return Ok(false);
+        }
+        endpoint_list::append(&*self.disk, &bytes)?;
+        self.endpoint_list = Some(file);
+        Ok(true)
     }
 
     fn write_compacted(&mut self, records: impl Iterator<Item = Record>) -> Result<(), JournalError> {
--- a/src/journal/limits.rs
+++ b/src/journal/limits.rs
@@ -14,9 +14,12 @@
 const BLOCK_BYTES: u64 = 512;
 /// Number of files in the folder: the journal, the compacted journal that replaces it, and the three files of a takeover.
 const FILE_COUNT: u64 = 5;
-/// Number of copies of the endpoint list while it is replaced.
-const ENDPOINT_LIST_COPIES: u64 = 2;
-/// Largest share of the folder for the copies of the endpoint list.
+/// Bytes by which the file of the endpoint list may grow before the list is written anew, in addition to the part of its size
+/// that [`ENDPOINT_LIST_GROWTH_DIVISOR`] gives.
+const ENDPOINT_LIST_GROWTH_BYTES: u64 = 4096;
+/// Divisor of the size of the endpoint list that gives a part of its growth.
+const ENDPOINT_LIST_GROWTH_DIVISOR: u64 = 4;
+/// Largest share of the folder for the file of the endpoint list and its replacement.
 const ENDPOINT_LIST_SHARE: f64 = 0.1;
 
 /// Size of an accepted message's record without its texts and body.
@@ -45,7 +48,9 @@
     /// Reserves the bytes for an endpoint list of this size. Returns `false` and reserves nothing if the list exceeds its share
     /// of the folder.
     pub(super) fn reserve_endpoint_list(&mut self, size: u64) -> bool {
-        let bytes = ENDPOINT_LIST_COPIES * size.next_multiple_of(BLOCK_BYTES);
+        let file = endpoint_list_limit(size).next_multiple_of(BLOCK_BYTES);
+        let replacement = size.next_multiple_of(BLOCK_BYTES);
+        let bytes = file + replacement;
         let fits = bytes as f64 <= self.capacity as f64 * ENDPOINT_LIST_SHARE;
         self.endpoint_list_bytes = if fits { bytes } else { 0 };
         fits
@@ -72,6 +77,11 @@
     }
 }
 
+/// Returns the size in bytes up to which changes are appended to an endpoint list of `size` bytes.
+pub(super) fn endpoint_list_limit(size: u64) -> u64 {
+    size + size / ENDPOINT_LIST_GROWTH_DIVISOR + ENDPOINT_LIST_GROWTH_BYTES
+}
+
 /// Returns the bytes to reserve for a pending message. The records of at most two attempts are counted: a compacted journal
 /// combines all ended attempts, and has the one in flight. The deduplication record of a complete message replaces them.
 pub(super) fn reserved_bytes(name: &str, origin: &str, idempotency_key: &str, body: usize) -> u64 {
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -21,5 +21,5 @@
 pub use codec::encoded_len;
 pub(crate) use codec::{encode, replay};
 pub use disk::{open_disk, Disk, FileWriter, Folder};
-pub use endpoint_list::{StoredEndpoint, StoredEndpointList};
+pub use endpoint_list::{StoredEndpoint, StoredEndpointList, StoredEndpointState, StoredListChange};
 pub use record::{AcceptedMessage, Completion, LateOutcome, Record};
