Log each change of an endpoint's health with its reason and limit

One line now gives each change: suspected, outage, slow start, healthy; the reason; the calls a second that follow. No decision changes.

--- a/src/bin/micaladder-benchlink/actions.rs
+++ b/src/bin/micaladder-benchlink/actions.rs
@@ -1,5 +1,5 @@
 //! Conversion of the decision module's actions to the simulator's JSON lines.
-use micaladder::{Action, EndpointId, MessageId};
+use micaladder::{Action, EndpointId, HealthChange, MessageId};
 use serde_json::{json, Value};
 
 /// Converts an action of an instance to a line of the reply. `endpoint_names` holds the endpoint names by id.
@@ -17,6 +17,12 @@
             "timeNs": time.0, "label": "wake"}),
         Action::CloseIdle(host) => json!({"what": "release", "relayId": instance, "host": name(host)}),
         Action::WatchEndpointList => json!({"what": "tail", "relayId": instance, "enable": true}),
+        Action::HealthChanged(change) => {
+            let HealthChange { host, health, reason, .. } = change;
+            let endpoint = name(host);
+            let text = format!("endpoint health changed to {health:?}, {reason:?} ({endpoint:?})");
+            json!({"what": "debug", "relayId": instance, "text": text})
+        }
         Action::Log { text, host } => {
             let text = match host.as_ref().and_then(name) {
                 Some(endpoint) => format!("{text} ({endpoint})"),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -44,7 +44,7 @@
 pub use suspensions::SuspensionResult;
 
 use crate::deduplication::DeduplicationCache;
-use crate::interface::{Action, EndpointId, Event, MessageId, Nanos, Settings};
+use crate::interface::{Action, EndpointId, Event, HealthChange, MessageId, Nanos, Settings};
 use crate::journal::{Completion, Journal, Record};
 use crate::logic::Balancer;
 use crate::metrics::Metrics;
@@ -290,6 +290,7 @@
             Action::CloseIdle(host) => self.outputs.push(Output::CloseIdle(host)),
             // The discovery module keeps up its watch on the endpoint list by itself.
             Action::WatchEndpointList => {}
+            Action::HealthChanged(change) => self.log_health_change(&change),
             Action::Log { text, host } => self.log_for_module(text, host),
         }
     }
@@ -301,6 +302,17 @@
         }
     }
 
+    /// Logs a change of an endpoint's health with the figures that explain the calls sent to it.
+    fn log_health_change(&self, change: &HealthChange) {
+        let Some(endpoint) = self.endpoints.get(change.host) else { return };
+        let HealthChange { health, reason, rate, last_response_age, .. } = *change;
+        log::info!(
+            host = endpoint.uid, dest = endpoint.dest, health:?, reason:?, calls_per_s:? = rate,
+            last_response_s:? = last_response_age.map(Nanos::secs);
+            "endpoint health changed"
+        );
+    }
+
     /// Schedules a wake-up at `at`, unless an earlier one is scheduled.
     fn wake_by(&mut self, at: Nanos) {
         self.wake_at = Some(self.wake_at.map_or(at, |scheduled| scheduled.min(at)));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,6 +4,7 @@
 
 mod action;
 mod event;
+mod health;
 mod message;
 mod observation;
 mod outcome;
@@ -12,6 +13,7 @@
 
 pub use action::Action;
 pub use event::{AttemptEnded, EndpointEntry, EndpointState, Event};
+pub use health::{EndpointHealth, HealthChange, HealthReason};
 pub use message::{DestinationId, EndpointId, Message, MessageId, PriorAttempts};
 pub use observation::{Finding, Observation};
 pub use outcome::{LoadReport, Outcome};
--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -1,8 +1,8 @@
 //! Actions that the decision module returns and the forwarder carries out.
-use super::{EndpointId, MessageId, Nanos};
+use super::{EndpointId, HealthChange, MessageId, Nanos};
 
 /// An action for the forwarder. Actions are carried out in the order in which they are emitted.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Send a message to an endpoint. Sends of one round to the same endpoint are combined into one call, up
     /// to the batch size of the endpoint's kind.
@@ -36,6 +36,8 @@
     CloseIdle(EndpointId),
     /// Start to watch, or request, the endpoint list.
     WatchEndpointList,
+    /// The health of an endpoint has changed. For the log only.
+    HealthChanged(HealthChange),
     /// Write a log line for the operator.
     Log {
         /// The text of the log line.
--- /dev/null
+++ b/src/interface/health.rs
@@ -0,0 +1,53 @@
+//! Changes of an endpoint's health, as the decision module reports them for the log.
+use super::{EndpointId, Nanos};
+
+/// Health of an endpoint as the decision module sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointHealth {
+    /// Calls are sent without restriction.
+    Healthy,
+    /// A call failed and no other has been served since: calls are sent at a limited rate.
+    Suspected,
+    /// The circuit breaker is open: only trial calls are sent.
+    Outage,
+    /// The endpoint serves again after an outage: calls are sent at a limited rate that rises.
+    SlowStart,
+}
+
+/// Why the health of an endpoint changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HealthReason {
+    /// A call was answered with an error, rejected below the limit, or lost.
+    CallFailed,
+    /// Another endpoint of the route did not answer.
+    RouteFailed,
+    /// Consecutive calls were not answered.
+    Unanswered,
+    /// Most calls failed.
+    FailureShare,
+    /// A response told to wait for as long as an outage lasts.
+    LongRetryAfter,
+    /// A call was served.
+    Served,
+    /// A call that was sent before the outage, or soon after its start, was served: it was no outage.
+    FalseAlarm,
+    /// The warm-up is over.
+    WarmedUp,
+    /// A peer's observation or an operator's command.
+    PeerObservation,
+}
+
+/// A change of an endpoint's health.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HealthChange {
+    /// The endpoint.
+    pub host: EndpointId,
+    /// Its health from now on.
+    pub health: EndpointHealth,
+    /// Why it changed.
+    pub reason: HealthReason,
+    /// Calls per second that this forwarder may send from now on; `None` if they are not limited.
+    pub rate: Option<f64>,
+    /// Time since the last response of the endpoint; `None` if there was none.
+    pub last_response_age: Option<Nanos>,
+}
--- a/src/logic/gain.rs
+++ b/src/logic/gain.rs
@@ -8,14 +8,16 @@
 impl EndpointRecord {
     /// Ends a completed slow start, lets the loss shares of classes decay and resets the connection count
     /// after the idle timeout.
-    fn review(&mut self, now: Nanos, settings: &Settings) {
-        self.end_slow_start(now, settings.warm_up);
+    /// Returns whether a slow start has ended.
+    fn review(&mut self, now: Nanos, settings: &Settings) -> bool {
+        let is_warm = self.end_slow_start(now, settings.warm_up);
         for share in self.class_loss.values_mut() {
             *share *= REVIEW_KEEP;
         }
         if now - self.used_at >= settings.connection_idle_timeout {
             self.connections = self.calls;
         }
+        is_warm
     }
 }
 
@@ -66,8 +68,14 @@
 
     /// Reviews endpoints, and drops the records of removed endpoints.
     fn review_endpoints(&mut self) {
-        for endpoint in self.endpoints.values_mut() {
-            endpoint.review(self.now, &self.settings);
+        let mut warm = Vec::new();
+        for (id, endpoint) in &mut self.endpoints {
+            if endpoint.review(self.now, &self.settings) {
+                warm.push(*id);
+            }
+        }
+        for id in warm {
+            self.report_health(id, HealthReason::WarmedUp);
         }
         // Keeps the table small when many endpoints are added and removed in a day.
         self.endpoints.retain(|_, endpoint| !endpoint.removed || endpoint.calls > 0);
--- a/src/logic/health.rs
+++ b/src/logic/health.rs
@@ -83,7 +83,9 @@
             let rejected = !failure.unanswered && !failure.may_lose_calls;
             let extra = if served_before && !rejected { 1.0 } else { 0.0 };
             endpoint.suspect(now, draw + extra);
+            self.report_health(id, HealthReason::CallFailed);
         }
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
         if failure.unanswered {
             endpoint.consecutive_unanswered += 1;
         }
@@ -100,15 +102,20 @@
         let Some(endpoint) = self.endpoints.get(&id) else { return };
         let route = endpoint.route;
         let Some(destination) = self.destinations.get(&endpoint.dest) else { return };
-        for other in &destination.endpoints {
-            let Some(other) = self.endpoints.get_mut(other) else { continue };
+        let mut suspected = Vec::new();
+        for other_id in &destination.endpoints {
+            let Some(other) = self.endpoints.get_mut(other_id) else { continue };
             let no_recent_response = (self.now - other.last_response_at).secs() > MIN_OUTAGE_SECS;
             let is_healthy = !other.suspected && other.breaker == CircuitBreaker::Closed;
             if other.route == route && is_healthy && no_recent_response {
                 other.suspect(self.now, MAX_SUSPECTED_ROUTE_TOKENS * draw);
                 other.consecutive_unanswered = 1;
+                suspected.push(*other_id);
             }
         }
+        for other in suspected {
+            self.report_health(other, HealthReason::RouteFailed);
+        }
     }
 
     /// Opens the circuit breaker after consecutive unanswered calls or a high share of failures.
@@ -124,7 +131,10 @@
                 next_trial: first_trial,
                 may_lose_calls: failure.may_lose_calls,
             };
+            let is_unanswered = endpoint.consecutive_unanswered >= BREAKER_UNANSWERED_CALLS;
             self.log("breaker opened", Some(id));
+            let reason = if is_unanswered { HealthReason::Unanswered } else { HealthReason::FailureShare };
+            self.report_health(id, reason);
         }
     }
 
--- a/src/logic/observations.rs
+++ b/src/logic/observations.rs
@@ -50,6 +50,7 @@
         let draw = self.random.next();
         let now = self.now;
         let Some(endpoint) = self.endpoints.get_mut(&observation.host) else { return };
+        let health_before = endpoint.health();
         let route = self.routes.entry(endpoint.route).or_default();
         let seen_at = now - observation.age;
         match observation.finding {
@@ -70,6 +71,9 @@
             }
             Finding::ConnectionCapacity { .. } | Finding::RateLimit { .. } => {}
         }
+        if self.endpoints.get(&observation.host).is_some_and(|endpoint| endpoint.health() != health_before) {
+            self.report_health(observation.host, HealthReason::PeerObservation);
+        }
     }
 }
 
--- a/src/logic/outcomes.rs
+++ b/src/logic/outcomes.rs
@@ -118,9 +118,15 @@
         }
         self.routes.entry(endpoint.route).or_default().record_served(self.now);
         endpoint.raise_capacity(self.settings.slots);
+        let health_before = endpoint.health();
         if endpoint.record_served(self.now, attempt.sent_at, ended.took.secs()) {
             endpoint.start_slow_start(self.now, draw);
             self.log("served again after an outage, slow start begins", Some(attempt.endpoint));
+            self.report_health(attempt.endpoint, HealthReason::Served);
+        } else if endpoint.health() != health_before {
+            let was_outage = health_before == EndpointHealth::Outage;
+            let reason = if was_outage { HealthReason::FalseAlarm } else { HealthReason::Served };
+            self.report_health(attempt.endpoint, reason);
         }
         self.destination(dest).served_since_review += 1;
     }
@@ -140,8 +146,11 @@
         // A wait as long as an outage is treated as one. All forwarders that wait receive the same end time,
         // so slow start is needed to keep them from overloading the destination when it ends.
         if wait.is_some_and(|wait| wait.secs() >= MIN_OUTAGE_SECS) {
-            for endpoint in self.endpoints.values_mut().filter(|endpoint| endpoint.route == key) {
-                endpoint.start_slow_start(opens_at, draw);
+            let on_route = self.endpoints.iter().filter(|(_, endpoint)| endpoint.route == key);
+            let on_route: Vec<EndpointId> = on_route.map(|(id, _)| *id).collect();
+            for id in on_route {
+                self.endpoints.entry(id).or_default().start_slow_start(opens_at, draw);
+                self.report_health(id, HealthReason::LongRetryAfter);
             }
         }
         if pace_reduced {
--- a/src/logic/promotion.rs
+++ b/src/logic/promotion.rs
@@ -36,14 +36,9 @@
     fn refill_tokens(&mut self) {
         for destination in self.active.iter().filter_map(|dest| self.destinations.get(dest)) {
             for id in &destination.endpoints {
+                let Some(endpoint) = self.endpoints.get(id) else { continue };
+                let demand = self.slow_start_demand(destination, endpoint);
                 let Some(endpoint) = self.endpoints.get_mut(id) else { continue };
-                let is_returning = matches!(endpoint.breaker, CircuitBreaker::SlowStart { .. });
-                let equal_share = if is_returning && self.settings.listed_rates == ListedRates::Nominal {
-                    endpoint.listed_rate * EQUAL_SHARE_DEMAND_FACTOR / self.settings.forwarders.max(1) as f64
-                } else {
-                    0.0
-                };
-                let demand = destination.demand.max(equal_share) / destination.endpoints.len() as f64;
                 endpoint.refill(&self.settings, self.now, demand);
                 self.routes.entry(endpoint.route).or_default().refill(self.now);
             }
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -124,6 +124,16 @@
         }
     }
 
+    /// Returns the health of the endpoint.
+    pub fn health(&self) -> EndpointHealth {
+        match self.breaker {
+            CircuitBreaker::Closed if self.suspected => EndpointHealth::Suspected,
+            CircuitBreaker::Closed => EndpointHealth::Healthy,
+            CircuitBreaker::Open { .. } => EndpointHealth::Outage,
+            CircuitBreaker::SlowStart { .. } => EndpointHealth::SlowStart,
+        }
+    }
+
     /// Clears the trial if this message carries it.
     pub fn end_trial(&mut self, id: MessageId) {
         if self.trial == Some(id) {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -233,7 +233,7 @@
                 Action::CloseIdle(host) => self.members[n].idle[host.0 as usize].clear(),
                 Action::WakeAt(at) => self.members[n].wake_at = Some(at),
                 Action::Reject { .. } | Action::Fail(_) | Action::Cancel { .. } => {}
-                Action::WatchEndpointList | Action::Log { .. } => {}
+                Action::WatchEndpointList | Action::HealthChanged(_) | Action::Log { .. } => {}
             }
         }
     }
