--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -215,6 +215,9 @@
  "rules":{"coldFrom":0.2,"fallMultiple":2.0,"mustAskInNs":10000000000,"orderPauseNs":0,"rampTimeNs":9000000000,"tipAfterNs":1500000000},
  "tenants":[{"name":"t","quotaRps":15.0,"share":1.0}],"weightKind":"nominal"}"#;
 
+/// Seed of the random numbers of a daemon whose test sets none.
+const FIRST_SEED: u64 = 0x8c1f_30d2_7a5b_e964;
+
 /// A running daemon process, its configuration and its state folder.
 pub struct Daemon {
     pub addr: SocketAddr,
@@ -243,6 +246,8 @@
     pub flags: Vec<String>,
     /// The client listener's address; `None` uses a new unique address.
     pub listen: Option<SocketAddr>,
+    /// Number that is added to the seed of the daemon's random numbers, so that several daemons differ.
+    pub seed: u64,
 }
 
 /// Returns the default setup with this discovery server and endpoint list.
@@ -260,9 +265,15 @@
         env,
         flags,
         listen,
+        seed: 0,
     }
 }
 
+/// Returns the settings of the test deployment with this maximum number of pending messages.
+pub fn test_settings(max_pending: u32) -> String {
+    SETTINGS.replace("OPENCAP", &max_pending.to_string())
+}
+
 impl Setup<'_> {
     /// Starts the daemon and waits until it logs that it is ready.
     pub fn start(self) -> Daemon {
@@ -288,15 +299,19 @@
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(folder.join("state")).expect("a folder");
         let addr = self.listen.unwrap_or_else(free_address);
-        let default_settings = || SETTINGS.replace("OPENCAP", &self.max_pending.to_string());
-        let mut settings = self.settings.clone().unwrap_or_else(default_settings);
+        let mut settings = self.settings.clone().unwrap_or_else(|| test_settings(self.max_pending));
         for (from, to) in &self.settings_replacements {
             assert!(settings.contains(from), "the settings do not contain {from}");
             settings = settings.replace(from, to);
         }
         let config = format!(
-            r#"{{"name":"n0","listen":"{addr}","discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{},"disk_mb":{}}},"known":{},"settings":{}}}"#,
-            self.discovery.addr, self.sockets, self.disk_mb, self.known, settings
+            r#"{{"name":"n0","listen":"{addr}","discovery":"{}","seed":"{:x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":{},"disk_mb":{}}},"known":{},"settings":{}}}"#,
+            self.discovery.addr,
+            FIRST_SEED + self.seed,
+            self.sockets,
+            self.disk_mb,
+            self.known,
+            settings
         );
         std::fs::write(folder.join("config.json"), config).expect("the configuration file");
         let (child, log) = spawn_process(&folder, &self.env, &self.flags);
