Slow start: forwarders' parts of the budget add up, and no call is saved up

Cause, one class of bug: what one forwarder allowed itself was judged alone, and the sum over the fleet was left to luck. - Each bucket held one whole token through the outage, so n forwarders had n calls at once. - A forwarder that saw errors, or one failed call, was only suspicious; the next served call freed it without a slow start. Errors open a breaker after seven in a row, more than a forwarder with little traffic sends in an outage. - The rate followed max(demand, 0.8 of an even share): the maxima add up to more than the server. A forwarder with little traffic also over-estimated its demand, which decays by review and not by time. - A failure in the warm-up did not begin the slow start anew.

Change: a forwarder's part of the budget is half an even share and half its share of the calls served before the outage; these cannot add up to more than the whole, whatever the demand. The mean is chosen so that the budget is four deviations away. Permits come at random and expire, so calls of many forwarders are independent even if all wait for one event. After failed calls a served one starts a slow start unless the failure was isolated or there was no time for an outage.

Ruled out: rejections without a Retry-After. That path is as before, draw for draw.

Tests: four cases of the module expected a call at once, or a count of one seed. A permit is random: they now wait for it, or check the mean over 20 or 40 seeds beside a bound for each seed.

--- a/src/interface/health.rs
+++ b/src/interface/health.rs
@@ -50,4 +50,6 @@
     pub rate: Option<f64>,
     /// Time since the last response of the endpoint; `None` if there was none.
     pub last_response_age: Option<Nanos>,
+    /// Calls per second of this forwarder that the endpoint's destination served while it was healthy.
+    pub served_rate: f64,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,10 +21,10 @@
 mod promotion;
 mod repeats;
 mod shedding;
+mod slow_start;
 mod timers;
 mod tuning;
 mod value;
-mod warm_up;
 
 use crate::interface::*;
 use crate::state::*;
@@ -37,6 +37,8 @@
     settings: Settings,
     /// Random numbers, drawn in the order of events.
     random: Random,
+    /// Random numbers of the permits for calls to endpoints that are not healthy.
+    permit_random: Random,
     /// Time of the current round.
     now: Nanos,
     /// Actions of the current round, in order.
@@ -93,6 +95,7 @@
         Balancer {
             watch_at: settings.poll_interval.map(|_| Nanos(0)),
             random: Random(seed | 1),
+            permit_random: Random(seed.rotate_left(32) ^ tuning::PERMIT_SEED | 1),
             watch_backoff_secs: tuning::FIRST_WATCH_BACKOFF_SECS,
             settings,
             ..Balancer::default()
--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -29,7 +29,9 @@
         self.messages.insert(message.id, pending);
         self.add_pending(message.id);
         self.destination(message.dest).demand += DEMAND_GAIN;
-        self.active.insert(message.dest);
+        if self.active.insert(message.dest) {
+            self.restart_permits(message.dest);
+        }
         self.open_messages += 1;
     }
 
--- a/src/logic/dispatch.rs
+++ b/src/logic/dispatch.rs
@@ -108,7 +108,8 @@
         late * LATE_COST + route_fee + cross_fee + handshake_fee + loss
     }
 
-    /// Starts a call: takes the slot and the tokens, and records a trial. Returns the number of the call.
+    /// Starts a call: takes the slot, the permit and the token, and records a trial. Returns the number of
+    /// the call.
     fn start_call(&mut self, dest: DestinationId, endpoint: EndpointId, first: MessageId) -> u64 {
         let now = self.now;
         // Drawn for every call, so that the sequence of random numbers does not depend on the breaker.
@@ -117,12 +118,14 @@
         self.destination(dest).calls += 1;
         self.assign_connection(endpoint);
         let endpoint = self.endpoints.entry(endpoint).or_default();
-        endpoint.bucket.level -= 1.0;
+        endpoint.permits.restart(now, &mut self.permit_random);
+        endpoint.limit_bucket.level -= 1.0;
         endpoint.trial = Some(first).filter(|_| endpoint.consecutive_unanswered > 0);
         if let CircuitBreaker::Open { since, next_trial, .. } = &mut endpoint.breaker {
             endpoint.trial = Some(first);
             let gap = ((now - *since).secs() * TRIAL_GAP_SHARE).clamp(MIN_TRIAL_GAP_SECS, MAX_TRIAL_GAP_SECS);
-            *next_trial = now + gap * jitter;
+            // The wait for a permit follows the gap and is a part of it.
+            *next_trial = now + (gap * jitter - 1.0 / endpoint.limited_rate).max(0.0);
         }
         self.routes.entry(endpoint.route).or_default().bucket.level -= 1.0;
         self.last_call
--- a/src/logic/gate.rs
+++ b/src/logic/gate.rs
@@ -89,16 +89,16 @@
 
     /// Returns whether the circuit breaker and a suspicion, if any, allow a call now.
     fn breaker_allows(&self, endpoint: &EndpointRecord) -> bool {
-        let has_token = endpoint.bucket.level >= 1.0;
+        let has_permit = endpoint.has_permit();
         match endpoint.breaker {
             CircuitBreaker::Closed if !endpoint.suspected => true,
             CircuitBreaker::Closed => {
-                has_token && (endpoint.consecutive_unanswered == 0 || endpoint.trial.is_none())
+                has_permit && (endpoint.consecutive_unanswered == 0 || endpoint.trial.is_none())
             }
             CircuitBreaker::Open { next_trial, .. } => {
-                has_token && endpoint.trial.is_none() && self.now >= next_trial
+                has_permit && endpoint.trial.is_none() && self.now >= next_trial
             }
-            CircuitBreaker::SlowStart { .. } => has_token,
+            CircuitBreaker::SlowStart { .. } => has_permit,
         }
     }
 
--- a/src/logic/health.rs
+++ b/src/logic/health.rs
@@ -38,26 +38,39 @@
         *share += FAILURE_GAIN * (1.0 - *share);
     }
 
-    /// Records a served call with its latency in seconds. Returns `true` if the call ends an outage.
+    /// Records a served call with its latency in seconds. Returns `true` if the call may end an outage, so
+    /// that the endpoint may be cold.
     pub(super) fn record_served(&mut self, now: Nanos, sent_at: Nanos, latency: f64) -> bool {
         self.latency.sample(latency);
         self.consecutive_unanswered = 0;
         self.failure_share *= 1.0 - FAILURE_GAIN;
-        self.suspected = false;
-        let CircuitBreaker::Open { since, may_lose_calls, .. } = self.breaker else { return false };
-        // The outage was a false alarm if it was short and either the served call was sent before it began or
-        // no call was lost in it, only rejected or refused. The endpoint was slow rather than silent.
-        let was_no_outage = (sent_at < since || !may_lose_calls) && (now - since).secs() < MIN_OUTAGE_SECS;
-        if was_no_outage {
+        let last_served_at = self.last_served_at.replace(now);
+        let is_open = matches!(self.breaker, CircuitBreaker::Open { .. });
+        let was_suspected = std::mem::take(&mut self.suspected);
+        let may_be_cold = (was_suspected || is_open) && self.may_be_cold(now, sent_at, last_served_at);
+        self.failed_calls = 0;
+        if is_open && !may_be_cold {
             self.breaker = CircuitBreaker::Closed;
         }
-        !was_no_outage
+        may_be_cold
     }
 
-    /// Marks the endpoint as suspected, with this number of tokens for its next calls.
-    fn suspect(&mut self, now: Nanos, tokens: f64) {
-        self.suspected = true;
-        self.bucket = TokenBucket { level: tokens, refilled_at: now };
+    /// Returns whether a call that is served at `now` may have ended an outage. `last_served_at` is the time
+    /// of the last served call before the suspicion.
+    fn may_be_cold(&self, now: Nanos, sent_at: Nanos, last_served_at: Option<Nanos>) -> bool {
+        // A limit rejects calls too; the reduced pace is the slow start after it.
+        if self.only_rejected {
+            return false;
+        }
+        if (now - self.suspected_since).secs() >= MIN_OUTAGE_SECS {
+            return true;
+        }
+        // An outage needs time between two served calls.
+        let had_time = last_served_at.is_none_or(|at| (now - at).secs() >= MIN_OUTAGE_SECS);
+        // The endpoint was slow rather than silent if it serves a call that was sent before the suspicion.
+        let was_slow = sent_at < self.suspected_since;
+        let is_isolated = self.failed_calls <= 1 && sent_at < self.suspected_since + ISOLATED_FAILURE_SECS;
+        had_time && !was_slow && !is_isolated
     }
 
     /// Returns whether the endpoint is slow, failing or in an outage.
@@ -78,19 +91,26 @@
         let first_trial = MIN_TRIAL_GAP_SECS * self.jitter();
         let now = self.now;
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
-        if !endpoint.suspected && endpoint.breaker == CircuitBreaker::Closed {
+        let is_open = matches!(endpoint.breaker, CircuitBreaker::Open { .. });
+        let rejected = !failure.unanswered && !failure.may_lose_calls;
+        endpoint.only_rejected = rejected && (endpoint.failed_calls == 0 || endpoint.only_rejected);
+        endpoint.failed_calls += 1;
+        if !endpoint.suspected && !is_open {
             let served_before = endpoint.latency.mean > 0.0;
-            let rejected = !failure.unanswered && !failure.may_lose_calls;
-            let extra = if served_before && !rejected { 1.0 } else { 0.0 };
-            endpoint.suspect(now, draw + extra);
-            self.report_health(id, HealthReason::CallFailed);
+            let was_closed = endpoint.breaker == CircuitBreaker::Closed;
+            self.suspect(id, HealthReason::CallFailed);
+            self.endpoints.entry(id).or_default().limit_bucket =
+                TokenBucket { level: draw, refilled_at: now };
+            if served_before && !rejected && was_closed {
+                self.endpoints.entry(id).or_default().permits.grant(now + ISOLATED_FAILURE_SECS);
+            }
         }
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
         if failure.unanswered {
             endpoint.consecutive_unanswered += 1;
         }
         if endpoint.consecutive_unanswered > 0 && failure.may_lose_calls {
-            self.suspect_route_endpoints(id, draw);
+            self.suspect_route_endpoints(id);
         }
         self.update_breaker(id, failure, now + first_trial);
     }
@@ -98,7 +118,7 @@
     /// Marks the route's other endpoints that have not responded lately as suspected, because an outage
     /// usually affects all endpoints of a route and a returning destination must not be overloaded. The cost:
     /// if only one of several endpoints is down, the first call to another may be delayed.
-    fn suspect_route_endpoints(&mut self, id: EndpointId, draw: f64) {
+    fn suspect_route_endpoints(&mut self, id: EndpointId) {
         let Some(endpoint) = self.endpoints.get(&id) else { return };
         let route = endpoint.route;
         let Some(destination) = self.destinations.get(&endpoint.dest) else { return };
@@ -108,16 +128,24 @@
             let no_recent_response = (self.now - other.last_response_at).secs() > MIN_OUTAGE_SECS;
             let is_healthy = !other.suspected && other.breaker == CircuitBreaker::Closed;
             if other.route == route && is_healthy && no_recent_response {
-                other.suspect(self.now, MAX_SUSPECTED_ROUTE_TOKENS * draw);
                 other.consecutive_unanswered = 1;
                 suspected.push(*other_id);
             }
         }
         for other in suspected {
-            self.report_health(other, HealthReason::RouteFailed);
+            self.suspect(other, HealthReason::RouteFailed);
         }
     }
 
+    /// Marks an endpoint as suspected: its calls need permits until one is served.
+    fn suspect(&mut self, id: EndpointId, reason: HealthReason) {
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
+        endpoint.suspected = true;
+        endpoint.suspected_since = self.now;
+        endpoint.permits.restart(self.now, &mut self.permit_random);
+        self.report_health(id, reason);
+    }
+
     /// Opens the circuit breaker after consecutive unanswered calls or a high share of failures.
     fn update_breaker(&mut self, id: EndpointId, failure: Failure, first_trial: Nanos) {
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
--- a/src/logic/list.rs
+++ b/src/logic/list.rs
@@ -33,7 +33,9 @@
         endpoint.listed_rate = entry.rate;
         let is_limit = self.listed_rate_is_limit(entry.host);
         self.routes.entry(route).or_default().listed_limit = if is_limit { entry.rate } else { 0.0 };
+        let now = self.now;
         let destination = self.destination(entry.dest);
+        destination.served_calls.start(now);
         if !destination.endpoints.contains(&entry.host) {
             destination.endpoints.push(entry.host);
         }
--- a/src/logic/observations.rs
+++ b/src/logic/observations.rs
@@ -71,7 +71,9 @@
             }
             Finding::ConnectionCapacity { .. } | Finding::RateLimit { .. } => {}
         }
-        if self.endpoints.get(&observation.host).is_some_and(|endpoint| endpoint.health() != health_before) {
+        let Some(endpoint) = self.endpoints.get_mut(&observation.host) else { return };
+        if endpoint.health() != health_before {
+            endpoint.permits.restart(now, &mut self.permit_random);
             self.report_health(observation.host, HealthReason::PeerObservation);
         }
     }
@@ -129,7 +131,6 @@
             next_trial: now + PEER_TRIAL_SPREAD_SECS * draw,
             may_lose_calls,
         };
-        self.bucket = TokenBucket { level: 1.0, refilled_at: now };
         self.breaker_from_peer = true;
     }
 
@@ -143,7 +144,6 @@
             }
             CircuitBreaker::Closed if since < warm_up => {
                 self.breaker = CircuitBreaker::SlowStart { since: now - since };
-                self.bucket = TokenBucket { level: draw, refilled_at: now };
                 self.breaker_from_peer = true;
             }
             // If peers report different start times, the later one is the safe choice.
--- a/src/logic/outcomes.rs
+++ b/src/logic/outcomes.rs
@@ -97,7 +97,7 @@
             route.reported_limit = report.limit;
         }
         match ended.outcome {
-            Outcome::Ok => self.record_served_call(ended, attempt, draw),
+            Outcome::Ok => self.record_served_call(ended, attempt),
             Outcome::Rejected(wait) => self.record_rejected_call(ended, attempt, wait, draw),
             Outcome::ConnectionLimit => self.record_connection_limit(attempt.endpoint, draw),
             Outcome::ConnectFailed => self.record_connect_failure(ended, attempt.endpoint),
@@ -109,7 +109,7 @@
     }
 
     /// Records a served call: it ends an outage and raises the pace and the capacity.
-    fn record_served_call(&mut self, ended: &AttemptEnded, attempt: &InFlight, draw: f64) {
+    fn record_served_call(&mut self, ended: &AttemptEnded, attempt: &InFlight) {
         self.update_idle_limit(attempt);
         let Some(endpoint) = self.endpoints.get_mut(&attempt.endpoint) else { return };
         let dest = endpoint.dest;
@@ -120,15 +120,21 @@
         endpoint.raise_capacity(self.settings.slots);
         let health_before = endpoint.health();
         if endpoint.record_served(self.now, attempt.sent_at, ended.took.secs()) {
-            endpoint.start_slow_start(self.now, draw);
             self.log("served again after an outage, slow start begins", Some(attempt.endpoint));
-            self.report_health(attempt.endpoint, HealthReason::Served);
+            self.start_slow_start(attempt.endpoint, self.now, HealthReason::Served);
         } else if endpoint.health() != health_before {
             let was_outage = health_before == EndpointHealth::Outage;
             let reason = if was_outage { HealthReason::FalseAlarm } else { HealthReason::Served };
             self.report_health(attempt.endpoint, reason);
         }
-        self.destination(dest).served_since_review += 1;
+        // A call with several messages counts once, with its last message.
+        let call_has_ended = !self.calls.contains_key(&attempt.call);
+        let now = self.now;
+        let destination = self.destination(dest);
+        destination.served_since_review += 1;
+        if call_has_ended {
+            destination.served_calls.record(now);
+        }
     }
 
     /// Records a rejected call: it reduces the pace. It counts as an outage if its Retry-After is long or if
@@ -149,8 +155,7 @@
             let on_route = self.endpoints.iter().filter(|(_, endpoint)| endpoint.route == key);
             let on_route: Vec<EndpointId> = on_route.map(|(id, _)| *id).collect();
             for id in on_route {
-                self.endpoints.entry(id).or_default().start_slow_start(opens_at, draw);
-                self.report_health(id, HealthReason::LongRetryAfter);
+                self.start_slow_start(id, opens_at, HealthReason::LongRetryAfter);
             }
         }
         if pace_reduced {
--- a/src/logic/promotion.rs
+++ b/src/logic/promotion.rs
@@ -32,19 +32,6 @@
         self.fill_ready_queue(&shares, ready, length, LEXAS_MAX * unit);
     }
 
-    /// Refills the tokens of all endpoints and routes of active destinations.
-    fn refill_tokens(&mut self) {
-        for destination in self.active.iter().filter_map(|dest| self.destinations.get(dest)) {
-            for id in &destination.endpoints {
-                let Some(endpoint) = self.endpoints.get(id) else { continue };
-                let demand = self.slow_start_demand(destination, endpoint);
-                let Some(endpoint) = self.endpoints.get_mut(id) else { continue };
-                endpoint.refill(&self.settings, self.now, demand);
-                self.routes.entry(endpoint.route).or_default().refill(self.now);
-            }
-        }
-    }
-
     /// Returns the active destinations with their weights and the number of messages that each could send.
     fn shares(&self) -> Vec<Share> {
         let share = |(dest, queue): (&DestinationId, &DestinationQueue)| Share {
--- a/src/logic/tuning.rs
+++ b/src/logic/tuning.rs
@@ -92,20 +92,27 @@
 /// Shortest duration of an outage in seconds: a Retry-After at least this long is treated as an outage, and a
 /// shorter outage as a false alarm.
 pub(super) const MIN_OUTAGE_SECS: f64 = 2.5;
+/// Time in seconds after a failed call in which another call may start at once. If that call is served, the
+/// failure was isolated and no outage.
+pub(super) const ISOLATED_FAILURE_SECS: f64 = 1.0;
 /// Shortest gap between trials of an open breaker, in seconds.
 pub(super) const MIN_TRIAL_GAP_SECS: f64 = 1.0;
 /// Longest gap between trials of an open breaker, in seconds.
 pub(super) const MAX_TRIAL_GAP_SECS: f64 = 3.0;
 /// Gap between trials as a share of the duration of the outage so far.
 pub(super) const TRIAL_GAP_SHARE: f64 = 0.4;
-/// Maximum number of initial tokens of an endpoint that is suspected because another endpoint of its route
-/// failed.
-pub(super) const MAX_SUSPECTED_ROUTE_TOKENS: f64 = 2.0;
 /// Lowest rate of all forwarders together in slow start, in calls per second.
 pub(super) const MIN_SLOW_START_RATE: f64 = 1.0;
-/// Share of a forwarder's equal share of the listed rate that counts as demand in slow start, if the actual
-/// demand is lower.
-pub(super) const EQUAL_SHARE_DEMAND_FACTOR: f64 = 0.8;
+/// Part of a returning destination's budget that is divided equally among the forwarders.
+pub(super) const EQUAL_PART: f64 = 0.5;
+/// Standard deviations between the mean number of calls to a returning destination and its budget.
+pub(super) const BUDGET_SAFETY_DEVIATIONS: f64 = 4.0;
+/// Share of its part of the budget that a forwarder uses if the list has no capacity; the rest is for chance.
+pub(super) const UNLISTED_BUDGET_SHARE: f64 = 0.8;
+/// Shortest overload window in seconds used in computations; it prevents a division by zero.
+pub(super) const MIN_WINDOW_SECS: f64 = 1e-3;
+/// Makes the seed of the permits' random numbers different from the main seed.
+pub(super) const PERMIT_SEED: u64 = 0x5851_f42d_4c95_7f2d;
 /// Shortest warm-up in seconds used in computations; it prevents a division by zero.
 pub(super) const MIN_WARM_UP_SECS: f64 = 1e-3;
 /// Period in seconds in which the first trial after a peer's report of an outage is sent. The time is random,
--- a/src/state/destination.rs
+++ b/src/state/destination.rs
@@ -1,5 +1,6 @@
 //! A destination with its pending messages, its share of promotions (LexAS) and its share of slots (ARR).
 use super::pending_index::PendingIndex;
+use super::ServedRate;
 use crate::interface::*;
 
 /// A flow of the design: the pending messages of a destination and the counters that decide when it is
@@ -36,6 +37,8 @@
     pub served_since_review: u32,
     /// Messages served per second, as a moving mean.
     pub served_rate: f64,
+    /// Calls served per second while the destination was healthy.
+    pub served_calls: ServedRate,
     /// Time of the last send.
     pub last_sent_at: Nanos,
 }
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -1,5 +1,5 @@
 //! The state of an endpoint: its list entry, latency, failures, circuit breaker and connections.
-use super::{RouteKey, TokenBucket};
+use super::{CallPermits, RouteKey, TokenBucket};
 use crate::interface::*;
 use std::collections::BTreeMap;
 
@@ -93,11 +93,21 @@
     pub breaker: CircuitBreaker,
     /// First message of the trial call in flight.
     pub trial: Option<MessageId>,
-    /// Tokens for calls while the endpoint is suspected or in slow start.
-    pub bucket: TokenBucket,
+    /// Permits for calls while the endpoint is not healthy, unless it may only be at its limit.
+    pub permits: CallPermits,
+    /// Tokens for calls while the endpoint may only be at its limit.
+    pub limit_bucket: TokenBucket,
     /// Suspected of an outage: its last call failed, or its route is in an outage.
     pub suspected: bool,
-    /// Calls per second allowed while the endpoint is suspected or in slow start.
+    /// Start of the suspicion, or of the suspicion that the outage began with.
+    pub suspected_since: Nanos,
+    /// Consecutive failed and rejected calls.
+    pub failed_calls: u32,
+    /// All of these calls were rejections.
+    pub only_rejected: bool,
+    /// Time at which a call was last served; `None` before the first one.
+    pub last_served_at: Option<Nanos>,
+    /// Calls per second allowed while the endpoint is not healthy.
     pub limited_rate: f64,
     /// Time of the last outcome that this forwarder itself received from the endpoint.
     pub local_outcome_at: Option<Nanos>,
@@ -116,11 +126,14 @@
     /// Returns the earliest time of the next call if the breaker or a suspicion limits calls, or `None` if
     /// neither does.
     pub fn next_call(&self, now: Nanos) -> Option<Nanos> {
-        let token = self.bucket.next_token(now, self.limited_rate);
+        let permit = match self.may_be_at_limit() {
+            true => self.limit_bucket.next_token(now, self.limited_rate),
+            false => self.permits.next(now, self.limited_rate),
+        };
         match self.breaker {
-            CircuitBreaker::Closed => self.suspected.then_some(token),
-            CircuitBreaker::Open { next_trial, .. } => Some(next_trial.max(token)),
-            CircuitBreaker::SlowStart { .. } => Some(token),
+            CircuitBreaker::Closed => self.suspected.then_some(permit),
+            CircuitBreaker::Open { next_trial, .. } => Some(next_trial.max(permit)),
+            CircuitBreaker::SlowStart { .. } => Some(permit),
         }
     }
 
@@ -134,6 +147,19 @@
         }
     }
 
+    /// Returns whether the endpoint is suspected only because it rejected calls, as it does at a limit.
+    pub fn may_be_at_limit(&self) -> bool {
+        self.breaker == CircuitBreaker::Closed && self.suspected && self.only_rejected
+    }
+
+    /// Returns whether a call may start although the endpoint is not healthy.
+    pub fn has_permit(&self) -> bool {
+        match self.may_be_at_limit() {
+            true => self.limit_bucket.level >= 1.0,
+            false => self.permits.is_granted(),
+        }
+    }
+
     /// Clears the trial if this message carries it.
     pub fn end_trial(&mut self, id: MessageId) {
         if self.trial == Some(id) {
--- a/tests/module/connections.rs
+++ b/tests/module/connections.rs
@@ -57,7 +57,14 @@
             actions = forwarder.step(100, &outcomes);
         }
         let m = forwarder.message(20, IDEMPOTENT, 10);
-        let actions = forwarder.step(1500, &[m]);
+        let mut actions = forwarder.step(1500, &[m]);
+        // Two lost calls may have been an outage; the call then waits for a permit of the slow start.
+        for _ in 0..80 {
+            if !sends(&actions).is_empty() {
+                break;
+            }
+            actions = forwarder.step(100, &[Event::Due]);
+        }
         assert_eq!(sends(&actions).len(), 1, "{actions:?}");
         actions.contains(&Action::CloseIdle(EndpointId(1)))
     };
--- a/tests/module/health.rs
+++ b/tests/module/health.rs
@@ -4,9 +4,9 @@
 use micaladder::*;
 use std::collections::BTreeMap;
 
-#[test]
-fn an_outage_is_followed_by_one_trial_at_a_time_and_then_a_slow_start() {
-    let mut forwarder = one_endpoint();
+/// Returns the trials in three seconds of an outage, and the calls in the first second after the endpoint serves again.
+fn trials_and_first_calls(seed: u64) -> (usize, usize) {
+    let mut forwarder = Forwarder::with_seed(settings(), vec![list_entry(1, 10, 0, 0)], seed);
     serve_messages(&mut forwarder, 1, 10, 40);
     let m = forwarder.message(100, IDEMPOTENT, 10);
     let other = forwarder.message(101, AT_MOST_ONCE, 10);
@@ -16,13 +16,14 @@
     let burst: Vec<Event> = (200..240).map(|id| forwarder.message(id, IDEMPOTENT, 10)).collect();
     let mut actions = forwarder.step(0, &burst);
     assert!(sends(&actions).is_empty(), "the breaker is open");
+    // The first trial has no outcome until the three seconds are over, so that a second one would be seen.
     for _ in 0..60 {
         actions.extend(forwarder.step(50, &[Event::Due]));
     }
-    let trial = sends(&actions);
-    assert!((1..=3).contains(&trial.len()), "trials are spaced: {trial:?}");
-    let attempt = u32::from(trial[0].0 == 100);
-    let mut actions = forwarder.step(50, &[attempt_ended(trial[0].0, attempt, Outcome::Ok, 50)]);
+    let trials = sends(&actions);
+    let Some((trial, _)) = trials.first().copied() else { return (0, 0) };
+    let attempt = u32::from(trial == 100);
+    let mut actions = forwarder.step(50, &[attempt_ended(trial, attempt, Outcome::Ok, 50)]);
     let mut first_second = 0;
     for _ in 0..20 {
         let ok: Vec<Event> = sends(&actions)
@@ -32,8 +33,25 @@
         first_second += ok.len();
         actions = forwarder.step(50, &ok);
     }
-    // The endpoint usually gets five calls per second. A fifth of its capacity is available, and twice that may be sent.
-    assert!((1..=3).contains(&first_second), "sent {first_second}");
+    (trials.len(), first_second)
+}
+
+/// The calls of a forwarder are random, so that those of many add up to their mean; the bounds thus hold for the mean.
+#[test]
+fn an_outage_is_followed_by_one_trial_at_a_time_and_then_a_slow_start() {
+    const SEEDS: usize = 40;
+    let (mut all_trials, mut all_calls) = (0, 0);
+    for seed in 1..=SEEDS as u64 {
+        let (trials, calls) = trials_and_first_calls(seed);
+        assert!(trials <= 3, "trials are spaced: {trials}");
+        // Five calls per second are usual. With a fifth of the capacity and twice that, N is 3 in the window of 1.5 s, and
+        // N + 3 root N + 3 is 11.
+        assert!(calls <= 11, "sent {calls}, seed {seed}");
+        (all_trials, all_calls) = (all_trials + trials, all_calls + calls);
+    }
+    assert!((SEEDS..=3 * SEEDS).contains(&all_trials), "{all_trials} trials in {SEEDS} runs");
+    // Two calls per second are allowed.
+    assert!((SEEDS..=2 * SEEDS).contains(&all_calls), "sent {all_calls} in {SEEDS} runs");
 }
 
 #[test]
@@ -191,9 +209,10 @@
 /// listed rate, and was late.
 #[test]
 fn slow_start_follows_the_listed_rate_where_the_demand_is_lower() {
-    let sent_in_two_seconds = |rate: f64| {
+    let sent_in_three_seconds = |rate: f64, seed: u64| {
         let settings = Settings { listed_rates: ListedRates::Nominal, ..settings() };
-        let mut forwarder = Forwarder::new(settings, vec![EndpointEntry { rate, ..list_entry(1, 1, 0, 0) }]);
+        let entry = EndpointEntry { rate, ..list_entry(1, 1, 0, 0) };
+        let mut forwarder = Forwarder::with_seed(settings, vec![entry], seed);
         let (mut next_id, mut attempts) = (1, BTreeMap::new());
         let mut answered = 0;
         for step in 0..140 {
@@ -213,9 +232,12 @@
         }
         answered
     };
-    let (unlisted, listed) = (sent_in_two_seconds(0.0), sent_in_two_seconds(40.0));
+    let all = |rate: f64| (1..=20).map(|seed| sent_in_three_seconds(rate, seed)).collect::<Vec<u32>>();
+    let (unlisted, listed) = (all(0.0), all(40.0));
+    let (unlisted, most) = (unlisted.iter().sum::<u32>(), listed.iter().max().copied().unwrap_or(0));
+    let listed = listed.iter().sum::<u32>();
     assert!(listed > unlisted, "{listed} with the listed rate, {unlisted} without");
     // With two forwarders, an even share is 20 calls per second. After three seconds a third of the ramp is over, so less than
     // half of the capacity is available, and at most twice that may be sent.
-    assert!(f64::from(listed) <= 3.0 * 20.0 * 0.5 * 2.0, "{listed}");
+    assert!(f64::from(most) <= 3.0 * 20.0 * 0.5 * 2.0, "{most}");
 }
--- a/tests/module/messages.rs
+++ b/tests/module/messages.rs
@@ -193,6 +193,13 @@
     );
     let m = forwarder.message(2, AT_MOST_ONCE, 10);
     let mut actions = forwarder.step(5000, &[m]);
+    // The endpoint is suspected, so the call waits for a permit.
+    for _ in 0..100 {
+        if !sends(&actions).is_empty() {
+            break;
+        }
+        actions = forwarder.step(100, &[Event::Due]);
+    }
     assert_eq!(sends(&actions), [(2, 1)]);
     actions = forwarder.step(50, &[attempt_ended(2, 0, Outcome::Reset, 50)]);
     assert!(is_failed(&actions, 2), "the message may have run, so it fails instead of being rejected");
