A new process continues the slow start that the last one had begun

Cause: circuit breakers and slow starts lived in the process alone.

Change: the folder has a further small file, `health`, with the endpoints that are not healthy and the rate that their destination served. Each change is appended, the whole written again when the file has grown, or a second after a failed write. A new process starts a slow start at each of them, whole, since it cannot know for how long the last one was gone without trusting the wall clock; at one that was failing it lasts until a call is served. The form of the file is that of `endpoints`: header, checksum, postcard; the code for it is shared now.

--- /dev/null
+++ b/src/core/endpoint_health.rs
@@ -0,0 +1,97 @@
+//! The health of endpoints across processes: the decision module reports each change, and the folder keeps the endpoints that are
+//! not healthy for the next process.
+//!
+//! A new process starts a slow start at each of them. It does not know for how long the last process has been gone, and reads no
+//! clock to find out, because the wall clock may have been set meanwhile.
+use super::Core;
+use crate::interface::{EndpointHealth, Event, HealthChange, Nanos};
+use crate::journal::{StoredEndpointHealth, StoredHealth};
+use std::collections::BTreeMap;
+
+/// The endpoints that are not healthy.
+#[derive(Default)]
+pub(super) struct EndpointHealthStore {
+    /// Entries of the file, by the endpoint's name in discovery, without healthy endpoints.
+    entries: BTreeMap<String, StoredEndpointHealth>,
+    /// Entries of the last process for endpoints that are not listed yet.
+    unlisted: BTreeMap<String, StoredEndpointHealth>,
+}
+
+impl Core {
+    /// Reads the endpoints that were not healthy when the last process ended. Listed ones are passed to the decision module.
+    pub(super) fn restore_endpoint_health(&mut self) {
+        let stored = self.journal.read_endpoint_health();
+        if !stored.is_empty() {
+            log::info!(endpoints = stored.len(); "health of endpoints restored: slow start instead of full rate");
+        }
+        let by_uid = |entry: StoredEndpointHealth| (entry.uid.clone(), entry);
+        self.health.unlisted = stored.into_iter().map(by_uid).collect();
+        self.restore_listed_endpoints();
+    }
+
+    /// Passes the stored health of endpoints that are listed by now to the decision module.
+    pub(super) fn restore_listed_endpoints(&mut self) {
+        let endpoints = &self.endpoints;
+        let listed: Vec<(String, StoredEndpointHealth)> =
+            self.health.unlisted.extract_if(.., |uid, _| endpoints.id(uid).is_some()).collect();
+        for (uid, entry) in listed {
+            let Some(host) = self.endpoints.id(&uid) else { continue };
+            let is_failing = entry.health == StoredHealth::Failing;
+            self.events.push(Event::HealthRestored { host, is_failing, served_rate: entry.served_rate });
+            self.health.entries.insert(uid, entry);
+        }
+    }
+
+    /// Logs a change of an endpoint's health, with the figures that explain the calls sent to it, and stores it for the next
+    /// process.
+    pub(super) fn health_changed(&mut self, change: &HealthChange) {
+        let Some(endpoint) = self.endpoints.get(change.host) else { return };
+        let HealthChange { health, reason, rate, last_response_age, served_rate, .. } = *change;
+        log::info!(
+            host = endpoint.uid, dest = endpoint.dest, health:?, reason:?, calls_per_s:? = rate,
+            last_response_s:? = last_response_age.map(Nanos::secs), served_per_s = served_rate;
+            "endpoint health changed"
+        );
+        let stored = match health {
+            EndpointHealth::Healthy => StoredHealth::Healthy,
+            EndpointHealth::Suspected | EndpointHealth::Outage => StoredHealth::Failing,
+            EndpointHealth::SlowStart => StoredHealth::SlowStart,
+        };
+        let entry = StoredEndpointHealth { uid: endpoint.uid.clone(), health: stored, served_rate };
+        let earlier = match stored {
+            StoredHealth::Healthy => self.health.entries.remove(&entry.uid),
+            _ => self.health.entries.insert(entry.uid.clone(), entry.clone()),
+        };
+        if earlier.as_ref() != Some(&entry) {
+            self.store_endpoint_health(&entry);
+        }
+    }
+
+    /// Stores a change. After a failure, the next attempt stores all entries.
+    fn store_endpoint_health(&mut self, change: &StoredEndpointHealth) {
+        if !self.journal.store_endpoint_health_change(change) {
+            self.store_all_endpoint_health();
+        }
+    }
+
+    fn store_all_endpoint_health(&mut self) {
+        let entries: Vec<StoredEndpointHealth> =
+            self.health.entries.values().chain(self.health.unlisted.values()).cloned().collect();
+        self.journal.store_endpoint_health(self.now, &entries);
+    }
+
+    /// Stores the health of endpoints again if that has failed and the pause is over.
+    pub(super) fn retry_endpoint_health(&mut self) {
+        if self.journal.endpoint_health_retry_due(self.now) {
+            self.store_all_endpoint_health();
+        }
+    }
+
+    /// Drops the health of an endpoint that is no longer listed. It counts as new if it is listed again.
+    pub(super) fn forget_endpoint_health(&mut self, uid: &str) {
+        self.health.entries.remove(uid);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/core/endpoint_list.rs
+++ b/src/core/endpoint_list.rs
@@ -154,6 +154,7 @@
     fn apply_endpoints(&mut self, complete: bool, endpoints: Vec<Endpoint>) {
         let entries = self.endpoints.update(complete, endpoints);
         self.events.push(Event::EndpointList { complete, entries });
+        self.restore_listed_endpoints();
     }
 
     fn store_endpoint_list(&mut self) {
--- a/src/core/endpoints.rs
+++ b/src/core/endpoints.rs
@@ -197,6 +197,7 @@
     pub(super) fn retire_endpoints(&mut self) {
         for (host, endpoint) in self.endpoints.retire_idle(self.pending.in_flight()) {
             log::debug!(host = endpoint.uid, dest = endpoint.dest; "endpoint retired");
+            self.forget_endpoint_health(&endpoint.uid);
             self.outputs.push(Output::CloseIdle(host));
         }
     }
--- a/src/core/journal_writer.rs
+++ b/src/core/journal_writer.rs
@@ -13,7 +13,9 @@
 //! The number of deferred records is bounded: while the journal cannot be written, nothing is accepted and no attempt starts,
 //! so each pending message adds at most the end of its attempt, its completion and its acknowledgement.
 use super::messages::Output;
-use crate::journal::{Journal, JournalError, Record, StoredEndpointList, StoredListChange};
+use crate::journal::{
+    Journal, JournalError, Record, StoredEndpointHealth, StoredEndpointList, StoredListChange,
+};
 use crate::Nanos;
 use std::collections::VecDeque;
 
@@ -49,6 +51,8 @@
     recovered_at: Option<Nanos>,
     /// Time at which the endpoint list is stored again; set after that failed.
     endpoint_list_retry_at: Option<Nanos>,
+    /// Time at which the health of endpoints is stored again; set after that failed.
+    endpoint_health_retry_at: Option<Nanos>,
     /// Whether the journal has been released to another process.
     released: bool,
 }
@@ -63,6 +67,7 @@
             backoff_s: FIRST_BACKOFF_S,
             recovered_at: None,
             endpoint_list_retry_at: None,
+            endpoint_health_retry_at: None,
             released: false,
         }
     }
@@ -76,11 +81,13 @@
     pub(super) fn release(&mut self) {
         self.released = true;
         self.endpoint_list_retry_at = None;
+        self.endpoint_health_retry_at = None;
     }
 
     /// Returns the time of the next retry of a write; `None` if none has failed.
     pub(super) fn next_wake(&self) -> Option<Nanos> {
-        self.retry_at.into_iter().chain(self.endpoint_list_retry_at).min()
+        let state_files = self.endpoint_list_retry_at.into_iter().chain(self.endpoint_health_retry_at);
+        self.retry_at.into_iter().chain(state_files).min()
     }
 
     /// Reads the endpoint list that the folder's last process stored; `None` if there is none.
@@ -117,6 +124,39 @@
         !self.released && self.endpoint_list_retry_at.is_some_and(|at| at <= now)
     }
 
+    /// Reads the endpoints that were not healthy when the folder's last process ended.
+    pub(super) fn read_endpoint_health(&mut self) -> Vec<StoredEndpointHealth> {
+        self.journal.read_endpoint_health()
+    }
+
+    /// Stores a change of an endpoint's health. Returns `false` if all entries must be stored instead.
+    pub(super) fn store_endpoint_health_change(&mut self, change: &StoredEndpointHealth) -> bool {
+        self.released || self.journal.append_endpoint_health(change).unwrap_or(false)
+    }
+
+    /// Stores the endpoints that are not healthy for the next process. After a failure,
+    /// [`endpoint_health_retry_due`](Self::endpoint_health_retry_due) returns `true` after a pause.
+    pub(super) fn store_endpoint_health(&mut self, now: Nanos, health: &[StoredEndpointHealth]) {
+        if self.released {
+            return;
+        }
+        let failed_before = self.endpoint_health_retry_at.is_some();
+        let result = self.journal.write_endpoint_health(health);
+        self.endpoint_health_retry_at = result.as_ref().err().map(|_| now + MAX_BACKOFF_S);
+        if let Err(error) = result {
+            if !failed_before {
+                log::warn!(
+                    "endpoint health not stored, a restarted process may overload returning endpoints: {error}"
+                );
+            }
+        }
+    }
+
+    /// Returns whether it is time to store the health of endpoints again after a failure.
+    pub(super) fn endpoint_health_retry_due(&self, now: Nanos) -> bool {
+        !self.released && self.endpoint_health_retry_at.is_some_and(|at| at <= now)
+    }
+
     /// Returns the capacity for pending messages and the deduplication cache, in bytes.
     pub(super) fn capacity(&self) -> u64 {
         self.journal.pending_capacity()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 //! | `ordering` | attempts that wait for their ordering key |
 //! | `completions` | complete messages and their callbacks |
 //! | `endpoints` | the endpoint registry |
+//! | `endpoint_health` | the endpoints in an outage or in slow start, and their copy on disk |
 //! | `endpoint_list` | the endpoint list at the start, and its copy on disk |
 //! | `suspensions` | operators' suspensions, and the metrics of the endpoint list |
 //! | `journal_writer` | journal writes on a disk that may fail |
@@ -20,6 +21,7 @@
 mod admission;
 mod attempts;
 mod completions;
+mod endpoint_health;
 mod endpoint_list;
 mod endpoints;
 mod in_flight;
@@ -44,12 +46,13 @@
 pub use suspensions::SuspensionResult;
 
 use crate::deduplication::DeduplicationCache;
-use crate::interface::{Action, EndpointId, Event, HealthChange, MessageId, Nanos, Settings};
+use crate::interface::{Action, EndpointId, Event, MessageId, Nanos, Settings};
 use crate::journal::{Completion, Journal, Record};
 use crate::logic::Balancer;
 use crate::metrics::Metrics;
 use crate::plugins::Plugins;
 use crate::settings::DeploymentSettings;
+use endpoint_health::EndpointHealthStore;
 use endpoint_list::ListState;
 use endpoints::EndpointRegistry;
 use journal_writer::JournalWriter;
@@ -110,6 +113,7 @@
     deduplication: DeduplicationCache,
     endpoints: EndpointRegistry,
     list: ListState,
+    health: EndpointHealthStore,
     predecessor_calls: PredecessorCalls,
     /// Id of the next message.
     next_id: u64,
@@ -160,6 +164,7 @@
             deduplication: DeduplicationCache::default(),
             endpoints: EndpointRegistry::new(static_endpoints),
             list: ListState::new(&configured_list.revision, list_delivery, now),
+            health: EndpointHealthStore::default(),
             predecessor_calls: PredecessorCalls::default(),
             next_id: 1,
             now,
@@ -176,6 +181,7 @@
         }
         core.resume(predecessor);
         core.start_with_endpoint_list(configured_list);
+        core.restore_endpoint_health();
         core
     }
 
@@ -212,6 +218,7 @@
         self.now = now;
         self.retry_journal();
         self.retry_endpoint_list();
+        self.retry_endpoint_health();
         let mut submitted = Vec::new();
         for input in inputs {
             submitted.extend(self.handle_input(input));
@@ -290,7 +297,7 @@
             Action::CloseIdle(host) => self.outputs.push(Output::CloseIdle(host)),
             // The discovery module keeps up its watch on the endpoint list by itself.
             Action::WatchEndpointList => {}
-            Action::HealthChanged(change) => self.log_health_change(&change),
+            Action::HealthChanged(change) => self.health_changed(&change),
             Action::Log { text, host } => self.log_for_module(text, host),
         }
     }
@@ -302,17 +309,6 @@
         }
     }
 
-    /// Logs a change of an endpoint's health with the figures that explain the calls sent to it.
-    fn log_health_change(&self, change: &HealthChange) {
-        let Some(endpoint) = self.endpoints.get(change.host) else { return };
-        let HealthChange { health, reason, rate, last_response_age, .. } = *change;
-        log::info!(
-            host = endpoint.uid, dest = endpoint.dest, health:?, reason:?, calls_per_s:? = rate,
-            last_response_s:? = last_response_age.map(Nanos::secs);
-            "endpoint health changed"
-        );
-    }
-
     /// Schedules a wake-up at `at`, unless an earlier one is scheduled.
     fn wake_by(&mut self, at: Nanos) {
         self.wake_at = Some(self.wake_at.map_or(at, |scheduled| scheduled.min(at)));
--- a/src/interface/event.rs
+++ b/src/interface/event.rs
@@ -82,6 +82,16 @@
     /// From now on no send may start (true), or sends may start again (false). Attempts in flight are not
     /// affected.
     Paused(bool),
+    /// The last process of this forwarder knew that the endpoint was not healthy. Reported after the endpoint
+    /// list, before any message is sent.
+    HealthRestored {
+        /// The endpoint.
+        host: EndpointId,
+        /// Calls failed, and none had been served since.
+        is_failing: bool,
+        /// [`HealthChange::served_rate`](super::HealthChange::served_rate) of the last change.
+        served_rate: f64,
+    },
     /// A peer's observation of an endpoint. Local observations take precedence unless they are older.
     PeerObservation(Observation),
     /// The time of the requested wake-up has come.
--- a/src/interface/health.rs
+++ b/src/interface/health.rs
@@ -35,6 +35,8 @@
     WarmedUp,
     /// A peer's observation or an operator's command.
     PeerObservation,
+    /// The last process of this forwarder knew of an outage or a slow start.
+    Restored,
 }
 
 /// A change of an endpoint's health.
--- a/src/journal/append_log.rs
+++ b/src/journal/append_log.rs
@@ -4,9 +4,11 @@
 //! truncates the incomplete record before it appends anything, and removes the compacted log: the old log stays in use.
 use super::codec::{encode, replay};
 use super::disk::{open_disk, Disk, FileWriter};
+use super::endpoint_health::{self, StoredEndpointHealth};
 use super::endpoint_list::{self, StoredEndpointList, StoredListChange};
 use super::limits::{self, Limits};
 use super::record::Record;
+use super::state_file::{self, StateFile};
 use std::io;
 use std::path::Path;
 
@@ -27,6 +29,9 @@
     /// The endpoint list exceeds its share of the state folder; a larger `limits.disk_mb` raises the share.
     #[error("the endpoint list exceeds its share of the state folder: raise limits.disk_mb")]
     EndpointListTooLong,
+    /// The health of endpoints exceeds its share of the state folder; a larger `limits.disk_mb` raises the share.
+    #[error("the health of endpoints exceeds its share of the state folder: raise limits.disk_mb")]
+    EndpointHealthTooLong,
     /// The state folder cannot be written: check its permissions and the free space of its file system.
     #[error(transparent)]
     Disk(#[from] io::Error),
@@ -42,11 +47,14 @@
     has_partial_record: bool,
     limits: Limits,
     /// The endpoint list that this process has written; `None` before that and after a failure.
-    endpoint_list: Option<EndpointListFile>,
+    endpoint_list: Option<WrittenFile>,
+    /// The health of endpoints that this process has written; `None` before that and after a failure.
+    endpoint_health: Option<WrittenFile>,
 }
 
-/// The size of the endpoint list's file.
-struct EndpointListFile {
+/// The size of a state file.
+#[derive(Clone, Copy)]
+struct WrittenFile {
     /// Length of the file, in bytes.
     length: u64,
     /// Length up to which changes are appended, in bytes.
@@ -72,7 +80,8 @@
     pub fn open_on(disk: Box<dyn Disk>, capacity: u64) -> io::Result<(Journal, Vec<Record>)> {
         // The process may have been killed during a compaction; the old log is still in use.
         let _ = disk.remove(COMPACTED_LOG_FILE);
-        endpoint_list::remove_unfinished(&*disk);
+        endpoint_list::FILE.remove_unfinished(&*disk);
+        endpoint_health::FILE.remove_unfinished(&*disk);
         let bytes = disk.read(LOG_FILE)?.unwrap_or_default();
         let replayed = replay(&bytes);
         let has_partial_record = replayed.length < bytes.len();
@@ -82,7 +91,9 @@
         let writer = disk.open_append(LOG_FILE)?;
         let length = replayed.length as u64;
         let limits = Limits::new(capacity);
-        let mut journal = Journal { disk, writer, length, has_partial_record, limits, endpoint_list: None };
+        let (endpoint_list, endpoint_health) = (None, None);
+        let mut journal =
+            Journal { disk, writer, length, has_partial_record, limits, endpoint_list, endpoint_health };
         if let Err(error) = journal.truncate_partial_record() {
             log::error!("journal: cannot truncate its torn tail: {error}");
         }
@@ -186,16 +197,15 @@
     /// The disk fails, and the old list stays in use; or the list exceeds its share of the folder, and no list is stored.
     pub fn write_endpoint_list(&mut self, list: &StoredEndpointList) -> Result<(), JournalError> {
         self.endpoint_list = None;
-        let bytes = endpoint_list::encode(list)?;
+        let bytes = state_file::encode(list)?;
         let length = bytes.len() as u64;
         if !self.limits.reserve_endpoint_list(length) {
             // A list without the latest changes would mislead the next process.
-            endpoint_list::remove(&*self.disk);
+            endpoint_list::FILE.remove(&*self.disk);
             return Err(JournalError::EndpointListTooLong);
         }
-        endpoint_list::replace(&*self.disk, &bytes)?;
-        let limit = limits::endpoint_list_limit(length);
-        self.endpoint_list = Some(EndpointListFile { length, limit });
+        endpoint_list::FILE.replace(&*self.disk, &bytes)?;
+        self.endpoint_list = Some(WrittenFile { length, limit: limits::state_file_limit(length) });
         Ok(())
     }
 
@@ -206,15 +216,69 @@
     ///
     /// The disk fails. The changes may be incomplete in the file.
     pub fn append_endpoint_list_change(&mut self, change: &StoredListChange) -> Result<bool, JournalError> {
-        let Some(mut file) = self.endpoint_list.take() else { return Ok(false) };
-        let bytes = endpoint_list::encode(change)?;
-        file.length += bytes.len() as u64;
-        if file.length > file.limit {
-            return Ok(false);
+        let file = self.endpoint_list.take();
+        self.endpoint_list = self.append_part(&endpoint_list::FILE, file, state_file::encode(change)?)?;
+        Ok(self.endpoint_list.is_some())
+    }
+
+    /// Appends a part to a file that this process has written. Returns `None` if the whole file must be written instead.
+    fn append_part(
+        &self, file: &StateFile, written: Option<WrittenFile>, bytes: Vec<u8>,
+    ) -> Result<Option<WrittenFile>, JournalError> {
+        let Some(WrittenFile { length, limit }) = written else { return Ok(None) };
+        let length = length + bytes.len() as u64;
+        if length > limit {
+            return Ok(None);
         }
-        endpoint_list::append(&*self.disk, &bytes)?;
-        self.endpoint_list = Some(file);
-        Ok(true)
+        file.append(&*self.disk, &bytes)?;
+        Ok(Some(WrittenFile { length, limit }))
+    }
+
+    /// Reads the endpoints that were not healthy when the folder's last process ended, and reserves the space of their file.
+    /// Logs a file that cannot be read.
+    pub fn read_endpoint_health(&mut self) -> Vec<StoredEndpointHealth> {
+        match endpoint_health::read(&*self.disk) {
+            Ok((health, size)) => {
+                if size > 0 {
+                    self.limits.reserve_endpoint_health(size);
+                }
+                health
+            }
+            Err(error) => {
+                log::warn!("stored endpoint health ignored, all endpoints count as healthy: {error}");
+                Vec::new()
+            }
+        }
+    }
+
+    /// Replaces the stored health of endpoints by these entries. Once this returns, they survive a kill of the process.
+    ///
+    /// # Errors
+    ///
+    /// The disk fails, or the entries exceed their share of the folder. The earlier ones stay in use.
+    pub fn write_endpoint_health(&mut self, health: &[StoredEndpointHealth]) -> Result<(), JournalError> {
+        self.endpoint_health = None;
+        let bytes = state_file::encode(&health)?;
+        let length = bytes.len() as u64;
+        if !self.limits.reserve_endpoint_health(length) {
+            return Err(JournalError::EndpointHealthTooLong);
+        }
+        endpoint_health::FILE.replace(&*self.disk, &bytes)?;
+        self.endpoint_health = Some(WrittenFile { length, limit: limits::state_file_limit(length) });
+        Ok(())
+    }
+
+    /// Appends a change of an endpoint's health. Returns `false` if all entries must be written instead, as
+    /// [`append_endpoint_list_change`](Self::append_endpoint_list_change) does.
+    ///
+    /// # Errors
+    ///
+    /// The disk fails. The change may be incomplete in the file.
+    pub fn append_endpoint_health(&mut self, change: &StoredEndpointHealth) -> Result<bool, JournalError> {
+        let file = self.endpoint_health.take();
+        let bytes = state_file::encode(&[change].as_slice())?;
+        self.endpoint_health = self.append_part(&endpoint_health::FILE, file, bytes)?;
+        Ok(self.endpoint_health.is_some())
     }
 
     fn write_compacted(&mut self, records: impl Iterator<Item = Record>) -> Result<(), JournalError> {
--- a/src/journal/limits.rs
+++ b/src/journal/limits.rs
@@ -14,13 +14,15 @@
 const BLOCK_BYTES: u64 = 512;
 /// Number of files in the folder: the journal, the compacted journal that replaces it, and the three files of a takeover.
 const FILE_COUNT: u64 = 5;
-/// Bytes by which the file of the endpoint list may grow before the list is written anew, in addition to the part of its size
-/// that [`ENDPOINT_LIST_GROWTH_DIVISOR`] gives.
-const ENDPOINT_LIST_GROWTH_BYTES: u64 = 4096;
-/// Divisor of the size of the endpoint list that gives a part of its growth.
-const ENDPOINT_LIST_GROWTH_DIVISOR: u64 = 4;
+/// Bytes by which a state file may grow before it is written as a whole again, in addition to the part of its size that
+/// [`STATE_FILE_GROWTH_DIVISOR`] gives.
+const STATE_FILE_GROWTH_BYTES: u64 = 4096;
+/// Divisor of the size of a state file that gives a part of its growth.
+const STATE_FILE_GROWTH_DIVISOR: u64 = 4;
 /// Largest share of the folder for the file of the endpoint list and its replacement.
 const ENDPOINT_LIST_SHARE: f64 = 0.1;
+/// Largest share of the folder for the file with the health of endpoints and its replacement.
+const ENDPOINT_HEALTH_SHARE: f64 = 0.1;
 
 /// Size of an accepted message's record without its texts and body.
 const ACCEPTED_RECORD_BYTES: u64 = 76;
@@ -37,28 +39,43 @@
     capacity: u64,
     /// Bytes reserved for the endpoint list.
     endpoint_list_bytes: u64,
+    /// Bytes reserved for the health of endpoints.
+    endpoint_health_bytes: u64,
 }
 
 impl Limits {
     /// Creates the limits for a folder with a capacity of `capacity` bytes.
     pub(super) fn new(capacity: u64) -> Limits {
-        Limits { capacity, endpoint_list_bytes: 0 }
+        Limits { capacity, endpoint_list_bytes: 0, endpoint_health_bytes: 0 }
     }
 
     /// Reserves the bytes for an endpoint list of this size. Returns `false` and reserves nothing if the list exceeds its share
     /// of the folder.
     pub(super) fn reserve_endpoint_list(&mut self, size: u64) -> bool {
-        let file = endpoint_list_limit(size).next_multiple_of(BLOCK_BYTES);
+        let reserved = self.state_file_bytes(size, ENDPOINT_LIST_SHARE);
+        self.endpoint_list_bytes = reserved.unwrap_or(0);
+        reserved.is_some()
+    }
+
+    /// Reserves the bytes for the health of endpoints in a file of this size. Returns `false` and leaves the reservation as it
+    /// is if the file exceeds its share of the folder.
+    pub(super) fn reserve_endpoint_health(&mut self, size: u64) -> bool {
+        let reserved = self.state_file_bytes(size, ENDPOINT_HEALTH_SHARE);
+        self.endpoint_health_bytes = reserved.unwrap_or(self.endpoint_health_bytes);
+        reserved.is_some()
+    }
+
+    /// Returns the bytes of a state file of this size and its replacement; `None` if they exceed this share of the folder.
+    fn state_file_bytes(&self, size: u64, share: f64) -> Option<u64> {
+        let file = state_file_limit(size).next_multiple_of(BLOCK_BYTES);
         let replacement = size.next_multiple_of(BLOCK_BYTES);
-        let bytes = file + replacement;
-        let fits = bytes as f64 <= self.capacity as f64 * ENDPOINT_LIST_SHARE;
-        self.endpoint_list_bytes = if fits { bytes } else { 0 };
-        fits
+        Some(file + replacement).filter(|bytes| *bytes as f64 <= self.capacity as f64 * share)
     }
 
     /// Returns the bytes available for the contents of all files of the journal together.
     fn available_bytes(&self) -> f64 {
-        self.capacity.saturating_sub(FILE_COUNT * BLOCK_BYTES + self.endpoint_list_bytes) as f64
+        let state_files = self.endpoint_list_bytes + self.endpoint_health_bytes;
+        self.capacity.saturating_sub(FILE_COUNT * BLOCK_BYTES + state_files) as f64
     }
 
     /// Returns the limit on the reservations of all messages, in bytes.
@@ -77,9 +94,9 @@
     }
 }
 
-/// Returns the size in bytes up to which changes are appended to an endpoint list of `size` bytes.
-pub(super) fn endpoint_list_limit(size: u64) -> u64 {
-    size + size / ENDPOINT_LIST_GROWTH_DIVISOR + ENDPOINT_LIST_GROWTH_BYTES
+/// Returns the size in bytes up to which changes are appended to a state file of `size` bytes.
+pub(super) fn state_file_limit(size: u64) -> u64 {
+    size + size / STATE_FILE_GROWTH_DIVISOR + STATE_FILE_GROWTH_BYTES
 }
 
 /// Returns the bytes to reserve for a pending message. The records of at most two attempts are counted: a compacted journal
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,7 +8,8 @@
 //! [`Action::Reject`] or an [`Action::Fail`]; the balancer then sends nothing more for it.
 //!
 //! A balancer keeps its state only in memory. After a restart, create a new one and report the endpoint list first. Clients
-//! submit their pending messages again; a message that the forwarder has stored is reported as [`Event::Resumed`].
+//! submit their pending messages again; a message that the forwarder has stored is reported as [`Event::Resumed`], and the
+//! [`HealthChange`] of an endpoint as [`Event::HealthRestored`].
 //!
 //! ```
 //! use micaladder::*;
--- a/src/logic/health.rs
+++ b/src/logic/health.rs
@@ -138,7 +138,7 @@
     }
 
     /// Marks an endpoint as suspected: its calls need permits until one is served.
-    fn suspect(&mut self, id: EndpointId, reason: HealthReason) {
+    pub(super) fn suspect(&mut self, id: EndpointId, reason: HealthReason) {
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
         endpoint.suspected = true;
         endpoint.suspected_since = self.now;
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -70,6 +70,20 @@
         self.report_health(id, reason);
     }
 
+    /// Starts the slow start of an endpoint that was not healthy when the last process ended. If it was
+    /// failing, the slow start lasts until a call is served, which starts it anew.
+    pub(super) fn restore_health(&mut self, id: EndpointId, is_failing: bool, served_rate: f64) {
+        let Some(endpoint) = self.endpoints.get(&id) else { return };
+        let dest = endpoint.dest;
+        if served_rate.is_finite() {
+            self.destination(dest).served_calls = ServedRate::held(self.now, served_rate.max(0.0));
+        }
+        self.start_slow_start(id, self.now, HealthReason::Restored);
+        if is_failing {
+            self.suspect(id, HealthReason::Restored);
+        }
+    }
+
     /// Returns the calls per second that this forwarder may send to an endpoint that is not healthy.
     ///
     /// Forwarders do not communicate, so each takes a part of the budget such that the parts add up to no
--- a/src/state/served_rate.rs
+++ b/src/state/served_rate.rs
@@ -24,6 +24,11 @@
 }
 
 impl ServedRate {
+    /// Returns a mean that an earlier process has measured, and that is held from now on.
+    pub fn held(now: Nanos, mean: f64) -> ServedRate {
+        ServedRate { started_at: Some(Nanos(0)), mean, updated_at: now, is_held: true }
+    }
+
     /// Starts the measurement, unless it has started.
     pub fn start(&mut self, now: Nanos) {
         self.started_at.get_or_insert(now);
