Failing test: two restarts in an outage forget that an endpoint was failing

An endpoint that is suspected while in slow start is reported, and stored, as in slow start; a second process then ends the slow start after a warm-up without a served call.

--- a/src/core/endpoint_health/tests.rs
+++ b/src/core/endpoint_health/tests.rs
@@ -103,3 +103,21 @@
     forwarder.restart(configured(1), ListDelivery::Delayed);
     assert!(!is_called_at_once(&mut forwarder, "m3"));
 }
+
+/// Guards against a kill in a second outage: the process that was restored from a failing endpoint stored it as in slow start.
+#[test]
+fn an_endpoint_that_was_failing_stays_limited_after_two_restarts_without_a_call() {
+    let mut forwarder = Forwarder::start(ListDelivery::Delayed);
+    call(&mut forwarder, "m1", Outcome::Ok);
+    call(&mut forwarder, "m2", Outcome::Error);
+    for _ in 0..2 {
+        forwarder.restart(configured(1), ListDelivery::Delayed);
+        forwarder.step(Vec::new());
+    }
+    // Longer than a warm-up.
+    for _ in 0..500 {
+        forwarder.now = forwarder.now + STEP_S;
+        forwarder.step(Vec::new());
+    }
+    assert!(!is_called_at_once(&mut forwarder, "m3"));
+}
