Log the memory in use with what it holds, panics, closes, and why a process ends

A process killed for its memory writes no last line, so the resident memory is read four times a second and logged at each sixteenth of limits.memory_mb that was not reached before, with client connections, bytes of their requests, pending messages and their bytes, remembered messages, calls and endpoints; from three quarters on as a warning. The start names the limits and the pid, the end its reason; a panic is logged with its place; a client connection is logged with the reason of its close or eviction. limits.memory_mb is read for the first time; nothing is bounded by it yet.

--- a/src/client/connection.rs
+++ b/src/client/connection.rs
@@ -47,6 +47,20 @@
     "a partly received request must get its response, and its connection must close, within FINAL_RESPONSE_TIMEOUT"
 );
 
+/// Why a client connection is closed.
+#[derive(Debug, thiserror::Error)]
+enum CloseReason {
+    /// The limiter needs its permit for a new connection.
+    #[error("evicted for a new connection")]
+    Evicted,
+    /// The client closed it, the last response closed it, or the process closes its client connections.
+    #[error("ended after a response or by the client")]
+    Ended,
+    /// A request was malformed or late, or the connection broke.
+    #[error("{0}")]
+    Failed(hyper::Error),
+}
+
 /// Serves one client connection until the client closes it, `connections` closes it, or the limiter evicts it.
 pub(super) async fn serve(
     io: impl AsyncRead + AsyncWrite + Unpin, routes: Router, limits: Limits, permit: ConnectionPermit,
@@ -70,24 +84,23 @@
         .serve_connection(io, service);
     let mut may_close = pin!(may_close(connections, state.clone()));
     let mut shutting_down = false;
-    loop {
+    let reason = loop {
         tokio::select! {
             // Polls the eviction first: otherwise a request could begin between the eviction and the close. Polls the
             // connection before `may_close`, so that bytes that have arrived already are read first.
             biased;
-            () = state.evicted() => break,
-            ended = &mut connection => {
-                if let Err(error) = ended {
-                    log::debug!("client connection: {error}");
-                }
-                break;
-            }
+            () = state.evicted() => break CloseReason::Evicted,
+            ended = &mut connection => match ended {
+                Ok(()) => break CloseReason::Ended,
+                Err(error) => break CloseReason::Failed(error),
+            },
             () = may_close.as_mut(), if !shutting_down => {
                 shutting_down = true;
                 std::pin::Pin::new(&mut connection).graceful_shutdown();
             }
         }
-    }
+    };
+    log::debug!(reason:%, phase:? = state.phase(), is_draining = shutting_down; "client connection closed");
     // Closes the connection in all cases. Returns at once if hyper has closed it already.
     let mut socket = connection.into_parts().io.into_inner();
     if let Err(error) = socket.shutdown().await {
@@ -136,7 +149,10 @@
                 let response = self.routes.oneshot(request).await.into_response();
                 (response, Some(size))
             }
-            Err(status) => (status.into_response(), None),
+            Err(status) => {
+                log::debug!(status = status.as_u16(); "client request not complete");
+                (status.into_response(), None)
+            }
         };
         // Closes the connection after the response if the end of the request is not certain, if an unread part of the body
         // would be parsed as the next request (RFC 9112, section 6.3), or if new connections need its permit.
--- a/src/client/limiter.rs
+++ b/src/client/limiter.rs
@@ -2,6 +2,7 @@
 //! are least likely to carry a request.
 use super::head::HeadScanner;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -54,6 +55,8 @@
     /// The phase, and since when the connection has been in it.
     phase: Mutex<(Phase, Instant)>,
     head: Mutex<HeadScanner>,
+    /// Bytes received since the last response.
+    request_bytes: AtomicUsize,
     evicted: Notify,
     phase_changed: Notify,
 }
@@ -63,6 +66,7 @@
         ConnectionState {
             phase: Mutex::new((Phase::Connected, Instant::now())),
             head: Mutex::default(),
+            request_bytes: AtomicUsize::new(0),
             evicted: Notify::new(),
             phase_changed: Notify::new(),
         }
@@ -86,12 +90,16 @@
             // Either the client disconnected, or this process wrongly closed the connection.
             log::debug!("client connection: closed during a request");
         }
+        if phase.0 == Phase::InRequest {
+            self.request_bytes.store(0, Relaxed);
+        }
         *phase = (next, Instant::now());
         self.phase_changed.notify_one();
     }
 
     /// Records bytes that were read from the client.
     pub(super) fn bytes_read(&self, bytes: &[u8]) {
+        self.request_bytes.fetch_add(bytes.len(), Relaxed);
         let mut head = self.head();
         head.scan(bytes);
         let phase = self.phase();
@@ -110,6 +118,10 @@
 
     /// Evicts the connection: its task reads no further request and closes it.
     pub(super) fn evict(&self) {
+        let (phase, since) = *lock(&self.phase);
+        let for_ms = since.elapsed().as_millis() as u64;
+        let bytes = self.request_bytes.load(Relaxed);
+        log::info!(phase:?, for_ms, bytes; "client connection evicted for a new one");
         self.enter(Phase::Closing);
         self.evicted.notify_one();
     }
@@ -134,6 +146,17 @@
     }
 }
 
+/// What the client connections of the process hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionUsage {
+    /// Number of open connections.
+    pub connections: usize,
+    /// Number of those on which a request is being read or handled.
+    pub in_request: usize,
+    /// Bytes received on all of them since the last response of each.
+    pub request_bytes: usize,
+}
+
 /// The open connections, by the ids of their permits.
 #[derive(Default)]
 struct OpenConnections {
@@ -193,6 +216,17 @@
         lock(&self.open).by_id.len() as f64 > self.limit as f64 * NEARLY_FULL_SHARE
     }
 
+    /// Returns what the open connections hold.
+    pub fn usage(&self) -> ConnectionUsage {
+        let mut usage = ConnectionUsage::default();
+        for state in lock(&self.open).by_id.values().filter(|state| state.phase() != Phase::Reserved) {
+            usage.connections += 1;
+            usage.in_request += usize::from(state.phase() == Phase::InRequest);
+            usage.request_bytes += state.request_bytes.load(Relaxed);
+        }
+        usage
+    }
+
     /// Returns whether any client connection is open.
     pub fn has_connections(&self) -> bool {
         lock(&self.open).by_id.values().any(|state| state.phase() != Phase::Reserved)
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -21,7 +21,7 @@
 
 pub use connection::Limits;
 pub use error::ClientError;
-pub use limiter::{ConnectionLimiter, ConnectionPermit};
+pub use limiter::{ConnectionLimiter, ConnectionPermit, ConnectionUsage};
 pub use listener::{listen, SharedListener};
 
 use crate::exchange::ClientConnections;
--- a/src/core/endpoints.rs
+++ b/src/core/endpoints.rs
@@ -37,6 +37,10 @@
         self.by_id.get(&host)
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
     pub(super) fn id(&self, uid: &str) -> Option<EndpointId> {
         self.ids.get(uid).copied()
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -98,6 +98,21 @@
     MayHaveCalls,
 }
 
+/// How much a core holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holdings {
+    /// Number of pending messages.
+    pub pending_messages: usize,
+    /// Bytes that the journal reserves for them.
+    pub pending_bytes: u64,
+    /// Bytes that the journal reserves for the complete messages of the deduplication cache.
+    pub remembered_bytes: u64,
+    /// Number of attempts in flight.
+    pub attempts_in_flight: usize,
+    /// Number of endpoints, with removed ones that still have an attempt in flight.
+    pub endpoints: usize,
+}
+
 /// Keeps the pending messages with their attempts and completions, drives the decision module and writes the journal.
 pub struct Core {
     settings: Settings,
@@ -208,6 +223,17 @@
         self.pending.in_flight().total()
     }
 
+    /// Returns how much this core holds.
+    pub fn holdings(&self) -> Holdings {
+        Holdings {
+            pending_messages: self.pending.len(),
+            pending_bytes: self.pending.journal_bytes(),
+            remembered_bytes: self.deduplication.journal_bytes(),
+            attempts_in_flight: self.attempts_in_flight(),
+            endpoints: self.endpoints.len(),
+        }
+    }
+
     /// Stops starting attempts. Messages accepted from now on stay in the journal for the next process.
     pub fn start_draining(&mut self) {
         self.draining = true;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -8,6 +8,7 @@
 mod error;
 mod left_over;
 mod listener;
+mod memory_monitor;
 mod ownership;
 mod released;
 mod serving;
@@ -134,6 +135,7 @@
     flags: &RunFlags, process: &mut Process, terminate: &mut Terminate, hangup: Signal,
 ) -> Result<RunEnd, DaemonError> {
     let config = Config::read(flags)?;
+    log_limits(&config);
     start_management(&config, process)?;
     let folder = SharedFolder::open(&config.state_dir)?;
     let owned = ownership::acquire(&config, &folder, process, terminate).await?;
@@ -144,6 +146,16 @@
     service.run(process, &folder, lock, terminate).await
 }
 
+fn log_limits(config: &Config) {
+    log::info!(
+        pid = std::process::id(),
+        memory_bytes = config.memory_limit,
+        disk_bytes = config.disk_limit,
+        sockets = config.socket_limit;
+        "limits of this process"
+    );
+}
+
 /// Starts the management listener before any step that may take long. It responds with "not ready" until this process serves.
 fn start_management(config: &Config, process: &mut Process) -> Result<(), DaemonError> {
     let Some(address) = config.mgmt else { return Ok(()) };
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -19,7 +19,9 @@
 pub use shutdown::SHUTDOWN_TIMEOUT;
 
 use crate::clock;
-use crate::core::{Answer, Callback, Core, EndpointObservation, Input, ListRevision, SuspensionResult};
+use crate::core::{
+    Answer, Callback, Core, EndpointObservation, Holdings, Input, ListRevision, SuspensionResult,
+};
 use crate::journal::Record;
 use crate::metrics::Metrics;
 use crate::request::RequestContext;
@@ -133,6 +135,11 @@
         self.request(|reply| Command::SetSuspension { uid, suspension, reply }).await
     }
 
+    /// Returns how much the core holds.
+    pub fn holdings(&self) -> Holdings {
+        self.core.lock().holdings()
+    }
+
     /// Returns the operator metrics. Counting starts with the first call of this method.
     pub fn metrics(&self) -> Arc<Metrics> {
         self.core.lock().enable_metrics(clock::now())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod fleet;
 pub mod journal;
 pub mod logger;
+pub mod memory;
 pub mod metrics;
 pub mod mgmt;
 pub mod peers;
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -16,7 +16,7 @@
 
 const CRATE: &str = "micaladder";
 /// Modules that a filter may name. A filter may also name any path below them.
-const MODULES: [&str; 24] = [
+const MODULES: [&str; 25] = [
     "acme",
     "as2",
     "callbacks",
@@ -33,6 +33,7 @@
     "journal",
     "logger",
     "logic",
+    "memory",
     "mgmt",
     "peers",
     "plugins",
@@ -294,3 +295,16 @@
     // The only error is that a logger is already installed; that logger stays in use.
     let _ = builder.try_init();
 }
+
+/// Logs each panic at level ERROR with its place, in addition to the message that the standard library prints. A task that
+/// panics ends without its caller, so nothing else reports it.
+pub fn log_panics() {
+    let print = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        let place = panic.location().map(ToString::to_string).unwrap_or_default();
+        let reason = panic.payload_as_str().unwrap_or("unknown");
+        let thread = std::thread::current().name().unwrap_or("unnamed").to_string();
+        log::error!(place, thread; "panicked: {reason}");
+        print(panic);
+    }));
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -29,10 +29,15 @@
 fn run_daemon(flags: &RunFlags) -> ExitCode {
     let log_flags = &flags.log;
     logger::install(&log_flags.filter, log_flags.format, log_flags.burst);
+    logger::log_panics();
     match daemon::run(flags) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(()) => {
+            log::info!(reason = "SIGTERM"; "process ends");
+            ExitCode::SUCCESS
+        }
         Err(error) => {
             log::error!("cannot start or continue: {error}");
+            log::error!(reason = "error"; "process ends");
             ExitCode::FAILURE
         }
     }
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -11,10 +11,9 @@
 const MIN_SOCKETS: u32 = 16;
 
 /// Keys of the platform's file that this program does not use, with `[]` for any index.
-const UNUSED_KEYS: [&str; 35] = [
+const UNUSED_KEYS: [&str; 34] = [
     "known.targets[].boot_ms",
     "limits.cores",
-    "limits.memory_mb",
     "settings.classes[].aimStretch",
     "settings.classes[].streamed",
     "settings.clients",
--- a/src/settings/file.rs
+++ b/src/settings/file.rs
@@ -30,6 +30,8 @@
 pub(super) struct ProcessLimits {
     /// Maximum size of the state folder in megabytes (10^6 bytes).
     pub(super) disk_mb: f64,
+    /// Maximum memory of the process in megabytes (10^6 bytes), with its files in private folders.
+    pub(super) memory_mb: Option<f64>,
     /// Maximum number of file descriptors of the process.
     pub(super) sockets: u32,
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -23,7 +23,9 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-/// Bytes in a megabyte of `limits.disk_mb`.
+/// Memory limit of a configuration without `limits.memory_mb`: the least that a deployment of the platform has.
+const DEFAULT_MEMORY_MB: f64 = 192.0;
+/// Bytes in a megabyte of `limits.disk_mb` and `limits.memory_mb`.
 const BYTES_PER_MEGABYTE: f64 = 1e6;
 
 /// The configuration of one forwarder.
@@ -41,6 +43,8 @@
     pub state_dir: PathBuf,
     /// Maximum size of the state folder in bytes.
     pub disk_limit: u64,
+    /// Maximum memory of the process in bytes, with its files in private folders.
+    pub memory_limit: u64,
     /// Maximum number of file descriptors of the process.
     pub socket_limit: usize,
     /// Seed of the random number generator.
@@ -125,8 +129,8 @@
     /// Returns the keys in which `reloaded` differs and that take effect only after a restart. `seed` and `known` are not
     /// included, because they are used only at the start.
     pub fn keys_needing_restart(&self, reloaded: &Config) -> Vec<&'static str> {
-        let limits_differ =
-            self.disk_limit != reloaded.disk_limit || self.socket_limit != reloaded.socket_limit;
+        let limits = |config: &Config| (config.disk_limit, config.memory_limit, config.socket_limit);
+        let limits_differ = limits(self) != limits(reloaded);
         let differences = [
             ("name", self.name != reloaded.name),
             ("listen", self.listen != reloaded.listen),
@@ -161,6 +165,7 @@
             mgmt: mgmt.map(parse_mgmt).transpose()?,
             state_dir,
             disk_limit: (file.limits.disk_mb * BYTES_PER_MEGABYTE) as u64,
+            memory_limit: (file.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * BYTES_PER_MEGABYTE) as u64,
             socket_limit: file.limits.sockets as usize,
             seed: parse_seed(file.seed)?,
             initial_endpoints: file.known,
