Failing tests: slow clients exceed the memory limit, and delay other clients

Real processes on loopback. The body is collected as the list of its reads, and hyper cuts each read out of a buffer of 8 KiB.

--- /dev/null
+++ b/tests/memory_limit/main.rs
@@ -0,0 +1,159 @@
+//! The memory of a process stays under the limit in its settings, with its files, whatever its clients send, and other clients are
+//! answered in time meanwhile. The processes have the least memory and the descriptors that the platform's pages name.
+mod crowd;
+mod honest;
+#[path = "../stand/mod.rs"]
+mod stand;
+
+use crowd::{Crowd, Script};
+use honest::{HonestClients, Response, RESPONSE_TIMEOUT};
+use rstest::rstest;
+use stand::*;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::thread::sleep;
+use std::time::Duration;
+
+/// The least memory that the platform's pages name, in megabytes.
+const LEAST_MEMORY_MB: u32 = 192;
+/// The memory of a smaller deployment, in megabytes.
+const SMALL_MEMORY_MB: u32 = 96;
+const BYTES_PER_MEGABYTE: usize = 1_000_000;
+/// Longer than the time limits of a head and of a body, so that connections of a crowd are replaced.
+const CROWD_TIME: Duration = Duration::from_secs(4);
+/// Time in which a crowd connects.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// Size limit of a body.
+const BODY_BYTES: usize = 64 * 1024;
+
+/// Held by each test: crowds beside each other would measure the machine.
+static ONE_CROWD: Mutex<()> = Mutex::new(());
+
+const HEAD: &str = "POST /stats HTTP/1.1\r\nX-Class: stats\r\nX-Tenant: t\r\nX-Deadline: 9000m\r\nX-Envelope: dest=7\r\nX-Request-Id: slow\r\n";
+
+fn head_with(headers: &str) -> Vec<u8> {
+    format!("{HEAD}{headers}\r\n").into_bytes()
+}
+
+fn with_body(head: Vec<u8>, body: &[u8]) -> Vec<u8> {
+    [head, body.to_vec()].concat()
+}
+
+fn body_in_writes(write_bytes: usize) -> Script {
+    Script::body_in_writes(head_with("Content-Length: 65536\r\n"), &[b'x'; BODY_BYTES], write_bytes)
+}
+
+/// A request that stops after seven eighths of its body.
+fn most_of_a_body() -> Vec<u8> {
+    with_body(head_with("Content-Length: 65536\r\n"), &vec![b'x'; BODY_BYTES / 8 * 7])
+}
+
+fn body_in_chunks(chunk: &str, count: usize) -> Vec<u8> {
+    with_body(head_with("Transfer-Encoding: chunked\r\n"), chunk.repeat(count).as_bytes())
+}
+
+fn head_of_short_fields() -> Vec<u8> {
+    [HEAD.as_bytes(), "a:\r\n".repeat(4000).as_bytes()].concat()
+}
+
+fn head_of_long_fields() -> Vec<u8> {
+    [HEAD.as_bytes(), format!("x-pad: {}\r\n", "p".repeat(250)).repeat(55).as_bytes()].concat()
+}
+
+fn trailers() -> Vec<u8> {
+    let trailer = format!("x-pad: {}\r\n", "p".repeat(200));
+    [body_in_chunks("1\r\nx\r\n", 4), b"0\r\n".to_vec(), trailer.repeat(60).into_bytes()].concat()
+}
+
+fn extensions() -> Vec<u8> {
+    with_body(head_with("Transfer-Encoding: chunked\r\n"), format!("1;{}", "e".repeat(15_000)).as_bytes())
+}
+
+/// A process with the least limits of the platform or smaller ones, its endpoint for destination 7 and its discovery.
+struct Forwarder {
+    daemon: Daemon,
+    memory_limit: usize,
+    _endpoint: Server,
+    _discovery: Server,
+    _one_crowd: MutexGuard<'static, ()>,
+}
+
+impl Forwarder {
+    fn start(memory_mb: u32, endpoint: Server) -> Forwarder {
+        let one_crowd = ONE_CROWD.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = endpoint_list(1, &[(7, endpoint.addr)]);
+        let discovery = start_discovery(known.clone());
+        let env = vec![("MICALADDER_LOG".to_string(), "info".to_string())];
+        let daemon = Setup { env, memory_mb, ..setup(&discovery, known) }.start();
+        let memory_limit = memory_mb as usize * BYTES_PER_MEGABYTE;
+        Forwarder { daemon, memory_limit, _endpoint: endpoint, _discovery: discovery, _one_crowd: one_crowd }
+    }
+
+    /// Returns the last log line on the memory of the process.
+    fn last_memory_line(&self) -> String {
+        let log = self.daemon.log();
+        log.lines().rfind(|line| line.contains("memory in use")).unwrap_or_default().to_string()
+    }
+
+    /// Checks that the process runs, and that the most memory that it has had is under its limit, with its files.
+    fn assert_memory(&mut self) {
+        assert!(self.daemon.is_running(), "the process has ended");
+        let files = std::fs::read_dir(self.daemon.folder.join("state")).expect("the state folder");
+        let sizes =
+            files.filter_map(|file| file.ok()?.metadata().ok()).map(|metadata| metadata.len() as usize);
+        let peak = self.daemon.peak_memory() + sizes.sum::<usize>();
+        println!("peak {peak} bytes of {}; {}", self.memory_limit, self.last_memory_line());
+        assert!(peak < self.memory_limit, "{peak} bytes of {}", self.memory_limit);
+    }
+}
+
+/// Checks that each client was answered, and in time. 503 is an answer.
+fn assert_answered(responses: &[Response]) {
+    let slowest = responses.iter().map(|response| response.took).max().unwrap_or_default();
+    let missing = responses.iter().filter(|response| response.status == 0).count();
+    println!("{} requests, {missing} without a response, the slowest took {slowest:?}", responses.len());
+    assert!(responses.len() > 10, "{responses:?}");
+    assert_eq!(missing, 0, "requests without a response");
+    assert!(slowest <= RESPONSE_TIMEOUT, "{slowest:?}");
+}
+
+/// A crowd that fits into the connections of a process. hyper cuts each read out of a buffer, so a body that is kept as the list
+/// of its reads keeps a buffer for each.
+#[rstest]
+#[case::bodies_in_single_bytes(body_in_writes(1))]
+#[case::bodies_in_pieces(body_in_writes(700))]
+#[case::chunks_of_one_byte(Script::new(body_in_chunks("1\r\nx\r\n", 65_000), 16_384))]
+#[case::chunks_of_one_byte_slowly(Script::new(body_in_chunks("1\r\nx\r\n", 65_000), 6))]
+#[case::heads_of_short_fields_in_single_bytes(Script::new(head_of_short_fields(), 1))]
+fn a_hundred_slow_clients_stay_under_a_small_memory_limit(#[case] script: Script) {
+    let mut forwarder = Forwarder::start(SMALL_MEMORY_MB, Server::always("200 OK"));
+    let crowd = Crowd::start(forwarder.daemon.addr, 100, &script);
+    sleep(CROWD_TIME);
+    crowd.stop();
+    forwarder.assert_memory();
+}
+
+/// More clients than a process keeps connections for.
+#[rstest]
+#[case::bodies_in_single_bytes(body_in_writes(1))]
+#[case::bodies_in_pieces(body_in_writes(700))]
+#[case::bodies_that_stop(Script::new(most_of_a_body(), 8192))]
+#[case::chunks_of_one_byte(Script::new(body_in_chunks("1\r\nx\r\n", 65_000), 16_384))]
+#[case::chunks_of_one_byte_slowly(Script::new(body_in_chunks("1\r\nx\r\n", 65_000), 6))]
+#[case::chunk_extensions(Script::new(extensions(), 4096))]
+#[case::trailers(Script::new(trailers(), 4096))]
+#[case::heads_of_short_fields(Script::new(head_of_short_fields(), 4096))]
+#[case::heads_of_short_fields_in_single_bytes(Script::new(head_of_short_fields(), 1))]
+#[case::heads_of_long_fields(Script::new(head_of_long_fields(), 1500))]
+#[case::silence(Script::new(Vec::new(), 1))]
+fn a_crowd_of_slow_clients_neither_exceeds_the_memory_limit_nor_delays_others(#[case] script: Script) {
+    let mut forwarder = Forwarder::start(LEAST_MEMORY_MB, Server::always("200 OK"));
+    let crowd = Crowd::start(forwarder.daemon.addr, 600, &script);
+    sleep(CONNECT_TIME);
+    let honest = HonestClients::start(forwarder.daemon.addr);
+    sleep(CROWD_TIME);
+    let responses = honest.stop();
+    println!("{} clients were connected", crowd.connected());
+    crowd.stop();
+    forwarder.assert_memory();
+    assert_answered(&responses);
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -236,6 +236,7 @@
     pub known: String,
     pub max_pending: u32,
     pub disk_mb: f64,
+    pub memory_mb: u32,
     pub sockets: u32,
     /// The deployment settings; `None` uses those of this module.
     pub settings: Option<String>,
@@ -259,6 +260,7 @@
         known,
         max_pending: 100,
         disk_mb: 3.0,
+        memory_mb: 192,
         sockets: 1024,
         settings,
         settings_replacements,
@@ -305,9 +307,10 @@
             settings = settings.replace(from, to);
         }
         let config = format!(
-            r#"{{"name":"n0","listen":"{addr}","discovery":"{}","seed":"{:x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":{},"disk_mb":{}}},"known":{},"settings":{}}}"#,
+            r#"{{"name":"n0","listen":"{addr}","discovery":"{}","seed":"{:x}","limits":{{"cores":1.0,"memory_mb":{},"sockets":{},"disk_mb":{}}},"known":{},"settings":{}}}"#,
             self.discovery.addr,
             FIRST_SEED + self.seed,
+            self.memory_mb,
             self.sockets,
             self.disk_mb,
             self.known,
@@ -477,9 +480,19 @@
 
     /// Returns the resident anonymous memory of the process in bytes, without program text and mapped files.
     pub fn anonymous_memory(&self) -> usize {
+        self.memory("RssAnon:")
+    }
+
+    /// Returns the most resident memory that the process has had, in bytes, with program text and mapped files.
+    pub fn peak_memory(&self) -> usize {
+        self.memory("VmHWM:")
+    }
+
+    /// Returns a value of the status file of the process, in bytes.
+    fn memory(&self, name: &str) -> usize {
         let status =
             std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("a running process");
-        let line = status.lines().find_map(|l| l.strip_prefix("RssAnon:")).expect("an RssAnon line");
+        let line = status.lines().find_map(|l| l.strip_prefix(name)).expect("the line of the value");
         line.trim().trim_end_matches(" kB").parse::<usize>().expect("a number") * 1024
     }
 
