Client connections are limited by the settings' memory too, each front by its part

Cause: no part of the program knew limits.memory_mb. Client connections were a third of the descriptors, whatever they may hold: 341 of 1,024, at 110 KB each, in a process of any size; AS2 connections, with bodies of 192 KiB and 30 s to send them, could take all of them. Change: memory::MemoryBudget gives each part a share of the limit; a connection counts with the most that it may take, and the AS2 front may use an eighth of both limits. micaladder check wants 48 MB or more.

--- a/src/client/as2/mod.rs
+++ b/src/client/as2/mod.rs
@@ -4,6 +4,8 @@
 
 pub use mdn::send_mdns;
 
+use super::connection::CONNECTION_OVERHEAD_BYTES;
+use super::limiter::ConnectionShare;
 use super::{platform, ClientError, Limits};
 use crate::as2::mdn as mdn_format;
 use crate::as2::smime::{self, Entity};
@@ -29,9 +31,20 @@
 pub const LIMITS: Limits = Limits {
     head_timeout: Duration::from_secs(10),
     body_timeout: Duration::from_secs(30),
-    body_limit: 192 * 1024,
+    body_limit: MAX_BODY_BYTES,
+    share: ConnectionShare {
+        connection_bytes: (COPIES_OF_A_BODY * MAX_BODY_BYTES + CONNECTION_OVERHEAD_BYTES + TLS_BYTES) as u64,
+        limit_divisor: 8,
+    },
 };
 
+/// Maximum size of a body, in bytes.
+const MAX_BODY_BYTES: usize = 192 * 1024;
+/// Number of copies of a body that a request holds: as read, and the payload in the message made of it.
+const COPIES_OF_A_BODY: usize = 2;
+/// Memory of a TLS session and its buffers, in bytes.
+const TLS_BYTES: usize = 64 * 1024;
+
 /// Maximum size of a message's payload, in bytes; the same as for the platform's messages.
 const MAX_PAYLOAD_BYTES: usize = 64 * 1024;
 
--- a/src/client/connection.rs
+++ b/src/client/connection.rs
@@ -1,6 +1,6 @@
 //! Serves one client connection: reads each request within its limits, passes it to the routes, and closes the connection
 //! without losing a response.
-use super::limiter::{ConnectionLimiter, ConnectionPermit, ConnectionState, Phase};
+use super::limiter::{ConnectionLimiter, ConnectionPermit, ConnectionShare, ConnectionState, Phase};
 use super::socket::{ClientSocket, DISCARD_TIMEOUT};
 use super::{reached, FINAL_RESPONSE_TIMEOUT};
 use crate::body::{self, BodyError};
@@ -32,10 +32,15 @@
     pub body_timeout: Duration,
     /// Maximum size of a request's body, in bytes.
     pub body_limit: usize,
+    /// What a connection takes of the limits on all client connections.
+    pub share: ConnectionShare,
 }
 
 /// Maximum size of a request head, in bytes. Clients send a dozen short lines.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
+pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// The most memory that a connection takes beside the body of its request, in bytes: hyper's buffers for reading and writing, the
+/// parsed head, trailers, and the connection's task.
+pub(super) const CONNECTION_OVERHEAD_BYTES: usize = 3 * MAX_HEAD_BYTES;
 /// Maximum number of header lines of a request.
 const MAX_HEADER_LINES: usize = 64;
 /// How long a connection waits for the rest of a partly received request once `ClientConnections::Closing` is set. Shorter
--- a/src/client/limiter.rs
+++ b/src/client/limiter.rs
@@ -157,55 +157,136 @@
     pub request_bytes: usize,
 }
 
-/// The open connections, by the ids of their permits.
+/// What a connection of a front takes of the limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionShare {
+    /// The most memory that it takes, with the request that is read on it, in bytes.
+    pub connection_bytes: u64,
+    /// The part of both limits that all connections of the front together may take, as a divisor.
+    pub limit_divisor: u64,
+}
+
+/// An open connection.
+struct OpenConnection {
+    state: Arc<ConnectionState>,
+    share: ConnectionShare,
+}
+
+/// Number of connections, and the memory that they may take.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Load {
+    connections: u64,
+    bytes: u64,
+}
+
+impl Load {
+    fn add(&mut self, share: ConnectionShare) {
+        self.connections += 1;
+        self.bytes += share.connection_bytes;
+    }
+
+    fn remove(&mut self, share: ConnectionShare) {
+        self.connections -= 1;
+        self.bytes -= share.connection_bytes;
+    }
+
+    /// Returns whether one more connection stays within a part of the limit. The first one always does.
+    fn has_room(mut self, share: ConnectionShare, limit: Load, divisor: u64) -> bool {
+        self.add(share);
+        self.connections == 1
+            || (self.connections <= limit.connections / divisor && self.bytes <= limit.bytes / divisor)
+    }
+}
+
+/// The open connections, by the ids of their permits, and their loads.
 #[derive(Default)]
 struct OpenConnections {
     last_id: u64,
-    by_id: BTreeMap<u64, Arc<ConnectionState>>,
+    by_id: BTreeMap<u64, OpenConnection>,
+    all: Load,
+    /// The load of each front, by the share of its connections.
+    fronts: Vec<(ConnectionShare, Load)>,
+}
+
+impl OpenConnections {
+    fn insert(&mut self, connection: OpenConnection) -> u64 {
+        self.last_id += 1;
+        self.all.add(connection.share);
+        self.front_mut(connection.share).add(connection.share);
+        self.by_id.insert(self.last_id, connection);
+        self.last_id
+    }
+
+    fn remove(&mut self, id: u64) {
+        let Some(OpenConnection { share, .. }) = self.by_id.remove(&id) else { return };
+        self.all.remove(share);
+        self.front_mut(share).remove(share);
+    }
+
+    fn front_mut(&mut self, share: ConnectionShare) -> &mut Load {
+        let index = self.fronts.iter().position(|(other, _)| *other == share).unwrap_or_else(|| {
+            self.fronts.push((share, Load::default()));
+            self.fronts.len() - 1
+        });
+        &mut self.fronts[index].1
+    }
+
+    fn front(&self, share: ConnectionShare) -> Load {
+        self.fronts.iter().find(|(other, _)| *other == share).map_or_else(Load::default, |(_, load)| *load)
+    }
 }
 
-/// Limits the client connections of the process, over all listeners.
+/// Limits the client connections of the process, over all listeners, by their number and by the memory that they may take.
 pub struct ConnectionLimiter {
-    limit: usize,
+    limit: Load,
     open: Mutex<OpenConnections>,
     released: Notify,
 }
 
 impl ConnectionLimiter {
-    /// Creates a limiter for `limit` connections, at least one.
-    pub fn new(limit: usize) -> Arc<ConnectionLimiter> {
-        Arc::new(ConnectionLimiter { limit: limit.max(1), open: Mutex::default(), released: Notify::new() })
+    /// Creates a limiter for this number of connections, at least one, that may take `bytes` of memory together.
+    pub fn new(connections: u64, bytes: u64) -> Arc<ConnectionLimiter> {
+        let limit = Load { connections: connections.max(1), bytes };
+        Arc::new(ConnectionLimiter { limit, open: Mutex::default(), released: Notify::new() })
     }
 
     /// Waits for a permit; while it waits, evicts connections that carry no request. Without evictions, clients that connect
     /// and send nothing could use up the permits.
-    pub async fn acquire(self: &Arc<ConnectionLimiter>) -> ConnectionPermit {
+    pub async fn acquire(self: &Arc<ConnectionLimiter>, share: ConnectionShare) -> ConnectionPermit {
         loop {
-            if let Some(permit) = self.try_acquire() {
+            if let Some(permit) = self.try_acquire(share) {
                 return permit;
             }
-            if let Some(connection) = self.eviction_candidate() {
+            if let Some(connection) = self.eviction_candidate(share) {
                 connection.evict();
             }
             let _ = timeout(EVICTION_INTERVAL, self.released.notified()).await;
         }
     }
 
-    fn try_acquire(self: &Arc<ConnectionLimiter>) -> Option<ConnectionPermit> {
+    fn try_acquire(self: &Arc<ConnectionLimiter>, share: ConnectionShare) -> Option<ConnectionPermit> {
         let mut open = lock(&self.open);
-        if open.by_id.len() >= self.limit {
+        if !open.all.has_room(share, self.limit, 1) || !self.front_has_room(&open, share) {
             return None;
         }
-        open.last_id += 1;
-        let id = open.last_id;
         let state = Arc::new(ConnectionState::new());
-        open.by_id.insert(id, state.clone());
+        let id = open.insert(OpenConnection { state: state.clone(), share });
         Some(ConnectionPermit { id, state, limiter: self.clone() })
     }
 
-    fn eviction_candidate(&self) -> Option<Arc<ConnectionState>> {
+    fn front_has_room(&self, open: &OpenConnections, share: ConnectionShare) -> bool {
+        open.front(share).has_room(share, self.limit, share.limit_divisor)
+    }
+
+    /// Returns the connection to evict for one of this share: any, or one of the same front if that front has used up its part.
+    fn eviction_candidate(&self, share: ConnectionShare) -> Option<Arc<ConnectionState>> {
         let open = lock(&self.open);
-        let ranked = open.by_id.values().filter_map(|state| Some((state.eviction_rank()?, state)));
+        let any_front = self.front_has_room(&open, share);
+        let candidates = open.by_id.values().filter(|connection| any_front || connection.share == share);
+        let ranked = candidates.filter_map(|connection| {
+            let rank = connection.state.eviction_rank()?;
+            Some((rank, &connection.state))
+        });
         ranked.min_by_key(|(rank, _)| *rank).map(|(_, state)| state.clone())
     }
 
@@ -213,13 +294,17 @@
     /// an idle connection may be evicted only after 2 s. A response can close its connection earlier with `Connection: close`
     /// (RFC 9112, section 9.6).
     pub(super) fn is_nearly_full(&self) -> bool {
-        lock(&self.open).by_id.len() as f64 > self.limit as f64 * NEARLY_FULL_SHARE
+        let Load { connections, bytes } = lock(&self.open).all;
+        let exceeds_share = |used: u64, limit: u64| used as f64 > limit as f64 * NEARLY_FULL_SHARE;
+        exceeds_share(connections, self.limit.connections) || exceeds_share(bytes, self.limit.bytes)
     }
 
     /// Returns what the open connections hold.
     pub fn usage(&self) -> ConnectionUsage {
         let mut usage = ConnectionUsage::default();
-        for state in lock(&self.open).by_id.values().filter(|state| state.phase() != Phase::Reserved) {
+        let open = lock(&self.open);
+        let states = open.by_id.values().map(|connection| &connection.state);
+        for state in states.filter(|state| state.phase() != Phase::Reserved) {
             usage.connections += 1;
             usage.in_request += usize::from(state.phase() == Phase::InRequest);
             usage.request_bytes += state.request_bytes.load(Relaxed);
@@ -229,7 +314,8 @@
 
     /// Returns whether any client connection is open.
     pub fn has_connections(&self) -> bool {
-        lock(&self.open).by_id.values().any(|state| state.phase() != Phase::Reserved)
+        let open = lock(&self.open);
+        open.by_id.values().any(|connection| connection.state.phase() != Phase::Reserved)
     }
 
     /// Waits until no permit is held, so that no client connection is open.
@@ -260,7 +346,7 @@
 impl Drop for ConnectionPermit {
     fn drop(&mut self) {
         self.state.enter(Phase::Closing);
-        lock(&self.limiter.open).by_id.remove(&self.id);
+        lock(&self.limiter.open).remove(self.id);
         self.limiter.released.notify_one();
     }
 }
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -21,7 +21,7 @@
 
 pub use connection::Limits;
 pub use error::ClientError;
-pub use limiter::{ConnectionLimiter, ConnectionPermit, ConnectionUsage};
+pub use limiter::{ConnectionLimiter, ConnectionPermit, ConnectionShare, ConnectionUsage};
 pub use listener::{listen, SharedListener};
 
 use crate::exchange::ClientConnections;
@@ -100,7 +100,7 @@
         let mut connections = self.connections.clone();
         loop {
             let permit = tokio::select! {
-                permit = limiter.acquire() => permit,
+                permit = limiter.acquire(self.limits.share) => permit,
                 () = reached(&mut connections, ClientConnections::NotAccepted) => return,
             };
             permit.state().enter(Phase::Reserved);
@@ -129,7 +129,7 @@
         while let Ok((socket, _)) = listener.accept() {
             let socket = socket.set_nonblocking(true).and_then(|()| TcpStream::from_std(socket));
             match socket {
-                Ok(socket) => self.spawn(socket, limiter.acquire().await),
+                Ok(socket) => self.spawn(socket, limiter.acquire(self.limits.share).await),
                 Err(error) => log::warn!("cannot accept client connections: {error}"),
             }
         }
--- a/src/client/platform.rs
+++ b/src/client/platform.rs
@@ -1,4 +1,6 @@
 //! The platform's front: converts HTTP requests into request contexts, and the exchange's answers into HTTP responses.
+use super::connection::CONNECTION_OVERHEAD_BYTES;
+use super::limiter::ConnectionShare;
 use super::{ClientError, Limits};
 use crate::clock;
 use crate::core::Answer;
@@ -22,8 +24,14 @@
 pub const LIMITS: Limits = Limits {
     head_timeout: Duration::from_millis(2200),
     body_timeout: Duration::from_millis(500),
-    body_limit: 64 * 1024,
+    body_limit: MAX_BODY_BYTES,
+    share: ConnectionShare {
+        connection_bytes: (MAX_BODY_BYTES + CONNECTION_OVERHEAD_BYTES) as u64,
+        limit_divisor: 1,
+    },
 };
+/// Maximum size of a body, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024;
 
 /// Maximum size of a header value, in bytes. No client of the platform uses longer names or keys.
 const MAX_HEADER_VALUE_BYTES: usize = 256;
--- a/src/client/tests.rs
+++ b/src/client/tests.rs
@@ -1,7 +1,7 @@
 //! Tests client connections over loopback sockets in a fixed order of events: the runtime has one thread, so the
 //! connection's task does not run between two awaits of a test.
 use super::connection::{self, Limits};
-use super::limiter::{ConnectionLimiter, ConnectionState, Phase};
+use super::limiter::{ConnectionLimiter, ConnectionShare, ConnectionState, Phase};
 use crate::exchange::ClientConnections;
 use axum::routing::post;
 use axum::Router;
@@ -19,7 +19,9 @@
     head_timeout: Duration::from_millis(2200),
     body_timeout: Duration::from_secs(5),
     body_limit: 1024,
+    share: SHARE,
 };
+const SHARE: ConnectionShare = ConnectionShare { connection_bytes: 1024, limit_divisor: 1 };
 const REQUEST: &[u8] = b"POST /echo HTTP/1.1\r\nhost: t\r\ncontent-length: 4\r\n\r\nbody";
 
 /// A served connection and its client.
@@ -45,7 +47,7 @@
         body
     };
     let routes = Router::new().route("/echo", post(echo));
-    let permit = ConnectionLimiter::new(10).acquire().await;
+    let permit = ConnectionLimiter::new(10, 10 * SHARE.connection_bytes).acquire(SHARE).await;
     let state = permit.state().clone();
     let (connections, receiver) = watch::channel(connections);
     let connection_task = tokio::spawn(connection::serve(socket, routes, LIMITS, permit, receiver));
@@ -194,12 +196,12 @@
 /// after 100 ms.
 #[tokio::test(start_paused = true)]
 async fn evicts_a_connection_with_a_partial_head_only_after_the_client_timeout() {
-    let limiter = ConnectionLimiter::new(1);
-    let permit = limiter.acquire().await;
+    let limiter = ConnectionLimiter::new(1, 1 * SHARE.connection_bytes);
+    let permit = limiter.acquire(SHARE).await;
     let state = permit.state().clone();
     state.bytes_read(b"POST /st");
     let limiter_of_next = limiter.clone();
-    let next_permit = tokio::spawn(async move { limiter_of_next.acquire().await });
+    let next_permit = tokio::spawn(async move { limiter_of_next.acquire(SHARE).await });
     tokio::time::sleep(Duration::from_millis(450)).await;
     assert_eq!(state.phase(), Phase::ReadingHead, "the client still waits for its response");
     tokio::time::sleep(Duration::from_millis(100)).await;
@@ -211,14 +213,14 @@
 /// At the limit, idle connections are evicted first, then connections that have sent no byte.
 #[tokio::test(start_paused = true)]
 async fn evicts_idle_connections_before_silent_ones_and_never_during_a_request() {
-    let limiter = ConnectionLimiter::new(3);
+    let limiter = ConnectionLimiter::new(3, 3 * SHARE.connection_bytes);
     let (idle, silent, in_request) =
-        (limiter.acquire().await, limiter.acquire().await, limiter.acquire().await);
+        (limiter.acquire(SHARE).await, limiter.acquire(SHARE).await, limiter.acquire(SHARE).await);
     idle.state().enter(Phase::Idle);
     in_request.state().enter(Phase::InRequest);
     tokio::time::sleep(Duration::from_millis(2100)).await;
     let limiter_of_next = limiter.clone();
-    let next_permit = tokio::spawn(async move { limiter_of_next.acquire().await });
+    let next_permit = tokio::spawn(async move { limiter_of_next.acquire(SHARE).await });
     tokio::time::sleep(Duration::from_millis(1)).await;
     let phases = [&idle, &silent, &in_request].map(|c| c.state().phase());
     assert_eq!(phases, [Phase::Closing, Phase::Connected, Phase::InRequest]);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -18,9 +18,10 @@
 
 pub use error::DaemonError;
 
-use crate::client;
+use crate::client::{self, ConnectionLimiter};
 use crate::exchange::{self, Exchange};
 use crate::flags::RunFlags;
+use crate::memory::MemoryBudget;
 use crate::mgmt::ManagementServer;
 use crate::settings::Config;
 use crate::takeover::state::StateMachine;
@@ -30,6 +31,7 @@
 use ownership::Ownership;
 use serving::Service;
 use signals::Terminate;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::runtime::Runtime;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -38,7 +40,7 @@
 const MIN_KILL_DELAY: Duration = Duration::from_millis(3700);
 
 /// Divisor of the process's socket limit that gives the share for client connections; endpoints and files use the rest.
-const CLIENT_SOCKETS_DIVISOR: usize = 3;
+const CLIENT_SOCKETS_DIVISOR: u64 = 3;
 
 const _: () = assert!(
     exchange::SHUTDOWN_TIMEOUT.as_millis()
@@ -146,6 +148,12 @@
     service.run(process, &folder, lock, terminate).await
 }
 
+/// Creates the limiter of all client connections of a process with this configuration.
+fn client_limiter(config: &Config) -> Arc<ConnectionLimiter> {
+    let connections = config.socket_limit as u64 / CLIENT_SOCKETS_DIVISOR;
+    ConnectionLimiter::new(connections, MemoryBudget::new(config.memory_limit).clients())
+}
+
 fn log_limits(config: &Config) {
     log::info!(
         pid = std::process::id(),
--- a/src/daemon/standby.rs
+++ b/src/daemon/standby.rs
@@ -1,8 +1,8 @@
 //! Standby: a process that has released the journal and may take it again listens behind its successor. The kernel gives it
 //! new connections only once the successor is gone. Until it serves again, it rejects their requests with a Retry-After, so
 //! that no connection is refused because a successor died.
-use super::{DaemonError, CLIENT_SOCKETS_DIVISOR};
-use crate::client::{self, ConnectionLimiter, SharedListener};
+use super::{client_limiter, DaemonError};
+use crate::client::{self, SharedListener};
 use crate::core;
 use crate::exchange::ClientConnections;
 use crate::settings::Config;
@@ -26,7 +26,7 @@
             tls: None,
         };
         let (connections, closing) = watch::channel(ClientConnections::Draining);
-        let limiter = ConnectionLimiter::new(config.socket_limit / CLIENT_SOCKETS_DIVISOR);
+        let limiter = client_limiter(config);
         let accept_task = tokio::spawn(client::serve(front, limiter, closing));
         Ok(Standby { accept_task, connections })
     }
--- a/src/daemon/startup.rs
+++ b/src/daemon/startup.rs
@@ -1,5 +1,5 @@
 //! Builds the parts around the journal and starts their tasks.
-use super::{memory_monitor, DaemonError, CLIENT_SOCKETS_DIVISOR};
+use super::{client_limiter, memory_monitor, DaemonError};
 use crate::as2::As2Settings;
 use crate::client::{self, ConnectionLimiter, SharedListener};
 use crate::core::{Core, CoreOptions, Predecessor};
@@ -57,7 +57,7 @@
     tokio::spawn(upstream::run(deployment, as2.clone(), exchange.clone(), upstream_commands));
     let discovery = start_discovery(flags, config, initial_list, &exchange, hangup);
     tokio::spawn(callbacks::run(discovery.address, exchange.clone(), platform_callbacks));
-    let limiter = ConnectionLimiter::new(config.socket_limit / CLIENT_SOCKETS_DIVISOR);
+    let limiter = client_limiter(config);
     tokio::spawn(memory_monitor::run(config.memory_limit, exchange.clone(), limiter.clone()));
     if let Some(as2) = as2 {
         start_as2_front(config, as2, &exchange, as2_completions, &limiter).await?;
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -6,6 +6,8 @@
 
 /// Minimum of `limits.disk_mb`: less has no room for one message of 64 KiB beside the journal's reserve.
 const MIN_DISK_MB: f64 = 0.2;
+/// Minimum of `limits.memory_mb`: less has no room for the program, some clients and messages.
+const MIN_MEMORY_MB: f64 = 48.0;
 /// Minimum of `limits.sockets`: a third of the descriptors is for clients, the rest for discovery, the endpoints and the
 /// files. With fewer, hardly any would be left for clients.
 const MIN_SOCKETS: u32 = 16;
@@ -85,6 +87,11 @@
         "limits.disk_mb",
         "too small for a message; must be at least 0.2",
     );
+    errors.require(
+        limits.memory_mb.is_none_or(|memory_mb| memory_mb >= MIN_MEMORY_MB),
+        "limits.memory_mb",
+        "too small for the program; must be at least 48",
+    );
     errors.require(
         limits.sockets >= MIN_SOCKETS,
         "limits.sockets",
--- a/tests/memory_limit/main.rs
+++ b/tests/memory_limit/main.rs
@@ -17,6 +17,8 @@
 const LEAST_MEMORY_MB: u32 = 192;
 /// The memory of a smaller deployment, in megabytes.
 const SMALL_MEMORY_MB: u32 = 96;
+/// The least that `micaladder check` accepts, in megabytes.
+const MIN_MEMORY_MB: u32 = 48;
 const BYTES_PER_MEGABYTE: usize = 1_000_000;
 /// Longer than the time limits of a head and of a body, so that connections of a crowd are replaced.
 const CROWD_TIME: Duration = Duration::from_secs(4);
@@ -132,6 +134,18 @@
     forwarder.assert_memory();
 }
 
+/// A process with few megabytes and many descriptors keeps fewer connections than its descriptors allow.
+#[rstest]
+#[case::bodies_that_stop(Script::new(most_of_a_body(), 8192))]
+#[case::heads_of_long_fields(Script::new(head_of_long_fields(), 1500))]
+fn a_crowd_stays_under_the_least_memory_that_a_process_can_have(#[case] script: Script) {
+    let mut forwarder = Forwarder::start(MIN_MEMORY_MB, Server::always("200 OK"));
+    let crowd = Crowd::start(forwarder.daemon.addr, 600, &script);
+    sleep(CROWD_TIME);
+    crowd.stop();
+    forwarder.assert_memory();
+}
+
 /// More clients than a process keeps connections for.
 #[rstest]
 #[case::bodies_in_single_bytes(body_in_writes(1))]
