A crowd of slow clients no longer keeps others from their answers

Cause: 341 connections for clients; one whose body does not come held its place for 0.5 s, an evicted one up to 0.1 s more, and only a hundred a second were evicted. A client that writes byte by byte costs a system call and a wake-up a byte; hyper parses the framing of chunks byte by byte, 15 KiB of it in one go. Ruled out: memory (under 80 MB); heads of short fields and silent clients (served in time before). Change: up to five eighths of the descriptors for clients, by heads of at most 8 KiB in the same memory; a body that has not come within 0.2 s gives way with 503 when all places are taken; a partial head is closed at once; five hundred evictions a second.

--- a/src/body.rs
+++ b/src/body.rs
@@ -19,12 +19,12 @@
     Broken(#[from] hyper::Error),
 }
 
-/// Reads a body of at most `limit` bytes.
+/// Reads a body of at most `limit` bytes. Calls `on_piece` with the length of each piece.
 ///
 /// # Errors
 ///
 /// The body is longer, broken or malformed.
-pub async fn read(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+pub async fn read(mut body: Incoming, limit: usize, on_piece: impl Fn(usize)) -> Result<Bytes, BodyError> {
     let announced = body.size_hint().exact().unwrap_or(0);
     if announced > limit as u64 {
         return Err(BodyError::TooLong(limit));
@@ -36,6 +36,7 @@
             return Err(BodyError::TooLong(limit));
         }
         bytes.extend_from_slice(&piece);
+        on_piece(piece.len());
     }
     if bytes.len() == bytes.capacity() {
         return Ok(bytes.freeze());
--- a/src/client/connection.rs
+++ b/src/client/connection.rs
@@ -37,7 +37,7 @@
 }
 
 /// Maximum size of a request head, in bytes. Clients send a dozen short lines.
-pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
+pub(super) const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// The most memory that a connection takes beside the body of its request, in bytes: hyper's buffers for reading and writing, the
 /// parsed head, trailers, and the connection's task.
 pub(super) const CONNECTION_OVERHEAD_BYTES: usize = 3 * MAX_HEAD_BYTES;
@@ -106,6 +106,9 @@
         }
     };
     log::debug!(reason:%, phase:? = state.phase(), is_draining = shutting_down; "client connection closed");
+    if state.is_head_dropped() {
+        return;
+    }
     // Closes the connection in all cases. Returns at once if hyper has closed it already.
     let mut socket = connection.into_parts().io.into_inner();
     if let Err(error) = socket.shutdown().await {
@@ -147,7 +150,10 @@
         let complete = if chunked && !self.state.head().has_no_content_length() {
             Err(StatusCode::BAD_REQUEST)
         } else {
-            read_complete(request, self.limits, self.connections).await
+            self.state.body_started();
+            let complete = read_complete(request, self.limits, &self.state, self.connections).await;
+            self.state.body_ended();
+            complete
         };
         let (mut response, body_size) = match complete {
             Ok((request, size)) => {
@@ -171,18 +177,22 @@
 }
 
 /// Reads a request's body, and returns the complete request and the body's size. Fails with the status of the response if
-/// the body is too long (it is not stored), does not arrive in time, or is incomplete when the process is about to exit.
+/// the body is too long (it is not stored), does not arrive in time, or is incomplete when the process is about to exit or a new
+/// connection needs its permit.
 /// Such a request is not accepted.
 async fn read_complete(
-    request: Request<Incoming>, limits: Limits, connections: watch::Receiver<ClientConnections>,
+    request: Request<Incoming>, limits: Limits, state: &ConnectionState,
+    connections: watch::Receiver<ClientConnections>,
 ) -> Result<(Request<Body>, usize), StatusCode> {
     let (head, body) = request.into_parts();
+    let body = body::read(body, limits.body_limit, |length| state.body_read(length));
     let body = tokio::select! {
         biased;
-        body = timeout(limits.body_timeout, body::read(body, limits.body_limit)) => {
+        body = timeout(limits.body_timeout, body) => {
             body.map_err(|_| StatusCode::REQUEST_TIMEOUT)?
         }
         () = closing_grace_over(connections) => return Err(StatusCode::SERVICE_UNAVAILABLE),
+        () = state.body_evicted() => return Err(StatusCode::SERVICE_UNAVAILABLE),
     };
     let body = body.map_err(|error| match error {
         BodyError::TooLong(_) => StatusCode::PAYLOAD_TOO_LARGE,
--- a/src/client/head.rs
+++ b/src/client/head.rs
@@ -4,6 +4,20 @@
 /// Number of bytes of a header line that are stored: enough to compare it with `content-length:`.
 const LINE_PREFIX: usize = 24;
 
+/// How far a request has been received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestProgress {
+    /// Its head is not complete.
+    Head,
+    /// Its body has the length that the head gives, or there is none.
+    PlainBody,
+    /// Its body is in chunks.
+    EncodedBody {
+        /// Bytes received after the head.
+        bytes: usize,
+    },
+}
+
 /// Scans the head of the current request, byte by byte as it arrives.
 #[derive(Default)]
 pub(super) struct HeadScanner {
@@ -12,6 +26,7 @@
     /// A non-empty line has been read to its end.
     started: bool,
     has_content_length: bool,
+    has_transfer_encoding: bool,
     complete: bool,
     /// Number of bytes that arrived after the head: the body and further requests.
     bytes_after: usize,
@@ -41,9 +56,19 @@
         self.complete = self.started && self.line.is_empty();
         self.started |= !self.line.is_empty();
         self.has_content_length |= self.line.starts_with(b"content-length:");
+        self.has_transfer_encoding |= self.line.starts_with(b"transfer-encoding:");
         self.line.clear();
     }
 
+    /// Returns how far the current request has been received.
+    pub(super) fn progress(&self) -> RequestProgress {
+        match (self.complete, self.has_transfer_encoding) {
+            (false, _) => RequestProgress::Head,
+            (true, false) => RequestProgress::PlainBody,
+            (true, true) => RequestProgress::EncodedBody { bytes: self.bytes_after },
+        }
+    }
+
     /// Returns whether part of a head, but not all of it, has arrived.
     pub(super) fn is_partial(&self) -> bool {
         !self.complete && (self.started || !self.line.is_empty())
--- a/src/client/limiter.rs
+++ b/src/client/limiter.rs
@@ -2,7 +2,7 @@
 //! are least likely to carry a request.
 use super::head::HeadScanner;
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -16,10 +16,13 @@
 /// Time after which a connection on which only part of a head has arrived may be evicted. Longer than the 400 ms that a
 /// client waits for its response.
 const EVICT_PARTIAL_HEAD_AFTER: Duration = Duration::from_millis(500);
+/// Time after which a connection whose request's body has not arrived may be evicted. A client sends its body at full speed, and the
+/// request is rejected, so that the client may repeat it.
+const EVICT_PARTIAL_BODY_AFTER: Duration = Duration::from_millis(200);
 /// Share of the limit above which each response closes its connection.
 const NEARLY_FULL_SHARE: f64 = 0.75;
 /// How long a new connection waits for a released permit before another connection is evicted.
-const EVICTION_INTERVAL: Duration = Duration::from_millis(10);
+const EVICTION_INTERVAL: Duration = Duration::from_millis(2);
 
 /// The phase of a client connection. The variants are in the order of eviction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -58,6 +61,13 @@
     /// Bytes received since the last response.
     request_bytes: AtomicUsize,
     evicted: Notify,
+    /// Since when the body of the current request is being read.
+    body_since: Mutex<Option<Instant>>,
+    /// Bytes of that body, without the framing of its chunks.
+    body_bytes: AtomicUsize,
+    body_evicted: Notify,
+    /// Whether the connection was evicted in the middle of a head, which has no response that a reset could lose.
+    is_head_dropped: AtomicBool,
     phase_changed: Notify,
 }
 
@@ -68,6 +78,10 @@
             head: Mutex::default(),
             request_bytes: AtomicUsize::new(0),
             evicted: Notify::new(),
+            body_since: Mutex::default(),
+            body_bytes: AtomicUsize::new(0),
+            body_evicted: Notify::new(),
+            is_head_dropped: AtomicBool::new(false),
             phase_changed: Notify::new(),
         }
     }
@@ -116,16 +130,53 @@
         }
     }
 
-    /// Evicts the connection: its task reads no further request and closes it.
+    /// Evicts the connection: its task reads no further request and closes it. A request whose body is being read is rejected first.
     pub(super) fn evict(&self) {
         let (phase, since) = *lock(&self.phase);
         let for_ms = since.elapsed().as_millis() as u64;
         let bytes = self.request_bytes.load(Relaxed);
         log::info!(phase:?, for_ms, bytes; "client connection evicted for a new one");
+        if phase == Phase::InRequest {
+            *lock(&self.body_since) = None;
+            self.body_evicted.notify_one();
+            return;
+        }
+        self.is_head_dropped.store(phase == Phase::ReadingHead, Relaxed);
         self.enter(Phase::Closing);
         self.evicted.notify_one();
     }
 
+    /// Returns whether the connection is to be closed at once, without waiting for the client's close.
+    pub(super) fn is_head_dropped(&self) -> bool {
+        self.is_head_dropped.load(Relaxed)
+    }
+
+    /// Records that the body of a request is being read from now on.
+    pub(super) fn body_started(&self) {
+        *lock(&self.body_since) = Some(Instant::now());
+        self.body_bytes.store(0, Relaxed);
+    }
+
+    /// Records a piece of the body.
+    pub(super) fn body_read(&self, length: usize) {
+        self.body_bytes.fetch_add(length, Relaxed);
+    }
+
+    /// Returns the bytes of the current request's body that were read, without the framing of its chunks.
+    pub(super) fn body_bytes(&self) -> usize {
+        self.body_bytes.load(Relaxed)
+    }
+
+    /// Records that the body of a request is complete, or is read no further.
+    pub(super) fn body_ended(&self) {
+        *lock(&self.body_since) = None;
+    }
+
+    /// Waits until the limiter evicts the request whose body is being read.
+    pub(super) async fn body_evicted(&self) {
+        self.body_evicted.notified().await;
+    }
+
     /// Waits until the limiter evicts this connection.
     pub(super) async fn evicted(&self) {
         self.evicted.notified().await;
@@ -141,6 +192,10 @@
     /// Returns the connection's rank in the order of eviction, lowest first; `None` if it may not be evicted now.
     fn eviction_rank(&self) -> Option<(Phase, Instant)> {
         let (phase, since) = *lock(&self.phase);
+        if phase == Phase::InRequest {
+            let since = (*lock(&self.body_since))?;
+            return (since.elapsed() >= EVICT_PARTIAL_BODY_AFTER).then_some((phase, since));
+        }
         let evictable_after = phase.evictable_after()?;
         (since.elapsed() >= evictable_after).then_some((phase, since))
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -39,8 +39,8 @@
 /// The earliest time after SIGTERM at which a planned restart kills the process.
 const MIN_KILL_DELAY: Duration = Duration::from_millis(3700);
 
-/// Divisor of the process's socket limit that gives the share for client connections; endpoints and files use the rest.
-const CLIENT_SOCKETS_DIVISOR: u64 = 3;
+/// Descriptors that a process with many keeps for endpoints, discovery, callbacks and files. A process with few keeps two thirds.
+const RESERVED_SOCKETS: u64 = 384;
 
 const _: () = assert!(
     exchange::SHUTDOWN_TIMEOUT.as_millis()
@@ -150,7 +150,8 @@
 
 /// Creates the limiter of all client connections of a process with this configuration.
 fn client_limiter(config: &Config) -> Arc<ConnectionLimiter> {
-    let connections = config.socket_limit as u64 / CLIENT_SOCKETS_DIVISOR;
+    let sockets = config.socket_limit as u64;
+    let connections = (sockets / 3).max(sockets.saturating_sub(RESERVED_SOCKETS).min(sockets / 8 * 5));
     ConnectionLimiter::new(connections, MemoryBudget::new(config.memory_limit).clients())
 }
 
