--- a/src/callbacks.rs
+++ b/src/callbacks.rs
@@ -30,6 +30,9 @@
 /// limit, new callbacks wait and are sent together in the next batch.
 const MAX_BATCHES_IN_FLIGHT: usize = 8;
 
+/// Maximum size of a response's head, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
 type PlatformClient = Client<HttpConnector, Full<Bytes>>;
 
 /// HTTP clients for the platform. The first attempt of a batch uses the pooled connection, which needs no handshake and
@@ -48,7 +51,10 @@
 }
 
 fn client(max_idle_connections: usize) -> PlatformClient {
-    Client::builder(TokioExecutor::new()).pool_max_idle_per_host(max_idle_connections).build_http()
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(max_idle_connections)
+        .http1_max_buf_size(MAX_HEAD_BYTES)
+        .build_http()
 }
 
 /// Sends callbacks until the process ends. Callbacks that arrive together are sent in one batch. `address` is the address
--- a/src/upstream/as2.rs
+++ b/src/upstream/as2.rs
@@ -5,11 +5,12 @@
 use crate::as2::mdn::{self, DispositionOutcome};
 use crate::as2::smime::{self, Entity};
 use crate::as2::{As2Settings, Partner};
+use crate::body;
 use crate::core::Attempt;
 use crate::exchange::{AttemptResult, Exchange};
 use crate::Outcome;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::header::{HeaderMap, CONTENT_TYPE};
 use hyper::Request;
 use std::sync::Arc;
@@ -65,12 +66,12 @@
     let mdn = if partner.is_mdn_asynchronous() {
         asynchronous_mdn.await.unwrap_or_default()
     } else {
-        let Ok(body) = Limited::new(body, MAX_MDN_BYTES).collect().await else {
+        let Ok(body) = body::read(body, MAX_MDN_BYTES, |_| {}).await else {
             // The connection broke or the body is too long, so there is no MDN. The call may have run.
             return Outcome::Reset.into();
         };
         let _ = timeout(platform::COMPLETION_GRACE_PERIOD, connection.release_when_ready()).await;
-        into_mime_entity(&head.headers, &body.to_bytes())
+        into_mime_entity(&head.headers, &body)
     };
     result_of_mdn(&mdn, &id, &mic, settings, partner)
 }
--- a/src/upstream/batch.rs
+++ b/src/upstream/batch.rs
@@ -5,11 +5,12 @@
 use super::platform::{self, CallKind};
 use super::pool::Pool;
 use super::{attempt_timeout, report};
+use crate::body;
 use crate::core::Attempt;
 use crate::exchange::{AttemptId, AttemptResult, Exchange};
 use crate::Outcome;
 use bytes::{BufMut, Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode, Uri};
@@ -185,8 +186,8 @@
     response: Response<Incoming>, address: &str, mut by_name: HashMap<String, AttemptResult>,
 ) -> BatchResults {
     let (head, body) = response.into_parts();
-    let body = match timeout(BODY_TIMEOUT, Limited::new(body, MAX_RESPONSE_BYTES).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+    let body = match timeout(BODY_TIMEOUT, body::read(body, MAX_RESPONSE_BYTES, |_| {})).await {
+        Ok(Ok(body)) => Ok(body),
         Ok(Err(error)) => Err(error.to_string()),
         Err(_) => Err("its body did not arrive in time".to_string()),
     };
--- a/src/upstream/platform.rs
+++ b/src/upstream/platform.rs
@@ -2,10 +2,11 @@
 use super::connection::UpstreamError;
 use super::monitored_stream::{CallMonitor, HeaderListener};
 use super::pool::{Call, Pool, PooledConnection};
+use crate::body;
 use crate::core::Attempt;
 use crate::exchange::{AttemptResult, Exchange};
 use crate::{DestinationId, LoadReport, Nanos, Outcome};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, CONNECTION, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
@@ -165,7 +166,7 @@
 
 /// Reads a response body so that the connection can be reused. A body that is too long closes the connection.
 async fn read_body(response: Response<Incoming>, connection: PooledConnection) {
-    let _ = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await;
+    let _ = body::discard(response.into_body(), MAX_BODY_BYTES).await;
     connection.release_when_ready().await;
 }
 
