--- a/src/client/as2/mdn.rs
+++ b/src/client/as2/mdn.rs
@@ -29,6 +29,9 @@
 /// Timeout of an attempt to send an MDN.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum size of the head of a partner's response, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// Why no asynchronous MDN is sent for a message. The operator must inform the partner by other means.
@@ -132,10 +135,16 @@
         if !request.is_asynchronous() {
             return ([(CONTENT_TYPE, entity.content_type)], entity.body).into_response();
         }
-        if let Some(url) = request.partner.mdn_url.clone() {
-            let (message_id, settings) = (message_id.to_string(), self.settings.clone());
-            tokio::spawn(async move { deliver(&http_client(), &settings, &url, &message_id, entity).await });
-        }
+        let Some(url) = request.partner.mdn_url.clone() else { return StatusCode::OK.into_response() };
+        let Ok(permit) = self.undelivered_mdns.clone().try_acquire_owned() else {
+            log::warn!("AS2: message {message_id} refused: too many MDNs wait for their partners");
+            return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        };
+        let (message_id, settings) = (message_id.to_string(), self.settings.clone());
+        tokio::spawn(async move {
+            deliver(&http_client(), &settings, &url, &message_id, entity).await;
+            drop(permit);
+        });
         StatusCode::OK.into_response()
     }
 }
@@ -184,7 +193,7 @@
 }
 
 fn http_client() -> HttpClient {
-    Client::builder(TokioExecutor::new()).build_http()
+    Client::builder(TokioExecutor::new()).http1_max_buf_size(MAX_HEAD_BYTES).build_http()
 }
 
 /// Sends an MDN until the partner accepts it or [`MAX_ATTEMPTS`] attempts have failed.
--- a/src/client/as2/mod.rs
+++ b/src/client/as2/mod.rs
@@ -25,6 +25,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 
 /// Limits on partners' requests. The timeouts allow for distant partners; the size limit allows for a message of 64 KiB that
 /// is signed, encrypted and encoded in base64.
@@ -48,6 +49,9 @@
 /// Maximum size of a message's payload, in bytes; the same as for the platform's messages.
 const MAX_PAYLOAD_BYTES: usize = 64 * 1024;
 
+/// Maximum number of asynchronous MDNs for messages that were not accepted.
+const MAX_UNDELIVERED_MDNS: usize = 64;
+
 /// Prefix of the name under which a partner's message is accepted. Separates these names from those of the platform's
 /// messages.
 const MESSAGE_NAME_PREFIX: &str = "as2:";
@@ -60,6 +64,18 @@
     pub settings: Arc<As2Settings>,
     /// Receives each valid message.
     pub exchange: Exchange,
+    /// Bounds the asynchronous MDNs for messages that were not accepted. Each is sent for up to a minute.
+    undelivered_mdns: Arc<Semaphore>,
+}
+
+impl As2Front {
+    /// Creates the front.
+    pub fn new(
+        deployment: Arc<DeploymentSettings>, settings: Arc<As2Settings>, exchange: Exchange,
+    ) -> As2Front {
+        let undelivered_mdns = Arc::new(Semaphore::new(MAX_UNDELIVERED_MDNS));
+        As2Front { deployment, settings, exchange, undelivered_mdns }
+    }
 }
 
 /// Returns the routes of the AS2 front.
--- a/src/daemon/startup.rs
+++ b/src/daemon/startup.rs
@@ -153,11 +153,8 @@
     log::info!("AS2 front listens on {}", settings.listen);
     tokio::spawn(client::as2::send_mdns(settings.clone(), exchange.clone(), completions));
     let authority = settings.acme.clone();
-    let routes = client::as2::routes(client::as2::As2Front {
-        deployment: config.deployment.clone(),
-        settings,
-        exchange: exchange.clone(),
-    });
+    let front = client::as2::As2Front::new(config.deployment.clone(), settings, exchange.clone());
+    let routes = client::as2::routes(front);
     let mut tls = None;
     if let Some(authority) = authority {
         let certificates = Arc::new(acme::CertificateStore::default());
