The endpoint list has a bound in memory: endpoints, names, destinations, and its text

Cause: a value of 4 MiB was the only bound, several could be received at once, the registry took any number of entries of any length, and destinations were remembered for ever. Change: by the share of limits.memory_mb, 4 kB for each endpoint (5,000 at 192 MB) and an eighth of half the share for a value; known endpoints are always updated, so drains count; names and addresses of 256 bytes, 16,384 destinations. What is ignored is logged as ERROR.

--- a/benches/held.rs
+++ b/benches/held.rs
@@ -98,6 +98,7 @@
         let (journal, records) = Journal::open_on(Box::new(NullDisk), 1 << 50)
             .expect("a disk that discards everything never fails");
         let core = Core::new(CoreOptions {
+            max_endpoints: 10_000,
             deployment: deployment(max_pending),
             seed: 7,
             static_endpoints: Vec::new(),
--- a/src/core/endpoint_list/tests.rs
+++ b/src/core/endpoint_list/tests.rs
@@ -206,7 +206,7 @@
 /// Endpoints from the settings come from the settings again, so a partner that was taken out of them is not brought back.
 #[test]
 fn endpoints_from_the_settings_are_not_stored() {
-    let mut registry = crate::core::endpoints::EndpointRegistry::new(vec![endpoint("as2:p", "p", 9)]);
+    let mut registry = crate::core::endpoints::EndpointRegistry::new(vec![endpoint("as2:p", "p", 9)], 10);
     registry.update(true, vec![endpoint("s-1", "a", DEST)]);
     let stored: Vec<&str> = registry.listed_by_discovery().map(|e| e.uid.as_str()).collect();
     assert_eq!(stored, ["s-1"]);
--- a/src/core/endpoints.rs
+++ b/src/core/endpoints.rs
@@ -9,6 +9,11 @@
 /// Maximum number of remembered names of retired endpoints; bounds memory while endpoints come and go.
 const RETIRED_MAX: usize = 1024;
 
+/// Maximum number of remembered destinations. Each takes room in the stored list, too.
+const MAX_DESTINATIONS: usize = 16_384;
+/// Maximum length of the name or the address of an endpoint, in bytes.
+const MAX_TEXT_BYTES: usize = 256;
+
 /// Listed endpoints, and removed endpoints that still have an attempt in flight.
 #[derive(Default)]
 pub(super) struct EndpointRegistry {
@@ -20,6 +25,7 @@
     removed: BTreeSet<EndpointId>,
     /// Endpoints from the settings, added to each complete list.
     static_endpoints: Vec<Endpoint>,
+    max_endpoints: usize,
     /// Destinations of all endpoints that were ever listed.
     destinations: BTreeSet<u64>,
     /// Names of endpoints that operators have suspended.
@@ -29,8 +35,41 @@
 }
 
 impl EndpointRegistry {
-    pub(super) fn new(static_endpoints: Vec<Endpoint>) -> EndpointRegistry {
-        EndpointRegistry { static_endpoints, ..EndpointRegistry::default() }
+    pub(super) fn new(static_endpoints: Vec<Endpoint>, max_endpoints: usize) -> EndpointRegistry {
+        EndpointRegistry { static_endpoints, max_endpoints, ..EndpointRegistry::default() }
+    }
+
+    /// Drops the new endpoints of an update that exceed the limit or have a name or address of implausible length. Updates of known
+    /// endpoints always count.
+    fn retain_acceptable(&self, complete: bool, endpoints: &mut Vec<Endpoint>) {
+        let received = endpoints.len();
+        let mut new_endpoints = 0;
+        let room = self.max_endpoints.saturating_sub(if complete { 0 } else { self.by_id.len() });
+        endpoints.retain(|endpoint| {
+            if self.ids.contains_key(&endpoint.uid) {
+                return true;
+            }
+            let has_plausible_texts = endpoint.uid.len().max(endpoint.address.len()) <= MAX_TEXT_BYTES;
+            new_endpoints += 1;
+            has_plausible_texts && new_endpoints <= room
+        });
+        let ignored = received - endpoints.len();
+        if ignored > 0 {
+            log::error!(
+                ignored, max_endpoints = self.max_endpoints;
+                "endpoints of the list ignored: too many for limits.memory_mb, or with too long a name"
+            );
+        }
+    }
+
+    /// Forgets destinations without an endpoint once there are too many.
+    fn limit_destinations(&mut self) {
+        if self.destinations.len() > MAX_DESTINATIONS {
+            log::warn!(
+                "destinations without an endpoint forgotten: more than {MAX_DESTINATIONS} were listed"
+            );
+            self.destinations = self.by_id.values().map(|endpoint| endpoint.dest).collect();
+        }
     }
 
     pub(super) fn get(&self, host: EndpointId) -> Option<&Endpoint> {
@@ -89,7 +128,8 @@
     }
 
     /// Applies a complete endpoint list or changes to it. Returns the entries for the decision module.
-    pub(super) fn update(&mut self, complete: bool, endpoints: Vec<Endpoint>) -> Vec<EndpointEntry> {
+    pub(super) fn update(&mut self, complete: bool, mut endpoints: Vec<Endpoint>) -> Vec<EndpointEntry> {
+        self.retain_acceptable(complete, &mut endpoints);
         let static_endpoints = if complete { self.static_endpoints.clone() } else { Vec::new() };
         let mut entries = Vec::new();
         for endpoint in endpoints.into_iter().chain(static_endpoints) {
@@ -98,6 +138,7 @@
             entries.push(self.entry(host, &endpoint));
             self.by_id.insert(host, endpoint);
         }
+        self.limit_destinations();
         let listed: BTreeSet<EndpointId> = entries.iter().map(|e| e.host).collect();
         for (host, endpoint) in &mut self.by_id {
             if complete && !listed.contains(host) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -69,6 +69,8 @@
 pub struct CoreOptions {
     /// Settings of the decision module, and the names of classes, tenants, zones and endpoint kinds.
     pub deployment: Arc<DeploymentSettings>,
+    /// Maximum number of endpoints; further ones are ignored.
+    pub max_endpoints: usize,
     /// Seed of the decision module's random numbers.
     pub seed: u64,
     /// Endpoints from the settings rather than from discovery; added to each complete endpoint list.
@@ -155,6 +157,7 @@
     pub fn new(options: CoreOptions) -> Core {
         let CoreOptions {
             deployment,
+            max_endpoints,
             seed,
             static_endpoints,
             configured_list,
@@ -177,7 +180,7 @@
             repeats: Vec::new(),
             ordering: OrderingKeys::default(),
             deduplication: DeduplicationCache::default(),
-            endpoints: EndpointRegistry::new(static_endpoints),
+            endpoints: EndpointRegistry::new(static_endpoints, max_endpoints),
             list: ListState::new(&configured_list.revision, list_delivery, now),
             health: EndpointHealthStore::default(),
             predecessor_calls: PredecessorCalls::default(),
--- a/src/core/test_forwarder.rs
+++ b/src/core/test_forwarder.rs
@@ -110,6 +110,7 @@
 ) -> Core {
     let (journal, records) = Journal::open_on(Box::new(disk.clone()), CAPACITY).expect("the journal opens");
     Core::new(CoreOptions {
+        max_endpoints: 10_000,
         deployment: deployment.clone(),
         seed: 7,
         static_endpoints: Vec::new(),
--- a/src/daemon/startup.rs
+++ b/src/daemon/startup.rs
@@ -7,6 +7,7 @@
 use crate::flags::RunFlags;
 use crate::fleet::gossip::FleetHandle;
 use crate::journal::Journal;
+use crate::memory::MemoryBudget;
 use crate::plugins::Plugins;
 use crate::settings::Config;
 use crate::takeover::state::POLL_INTERVAL;
@@ -37,6 +38,7 @@
     let as2 = As2Settings::load(&flags.files.as2)?.map(Arc::new);
     let core = Core::new(CoreOptions {
         deployment: config.deployment.clone(),
+        max_endpoints: MemoryBudget::new(config.memory_limit).max_endpoints(),
         seed: config.seed,
         static_endpoints: as2.as_ref().map(|settings| settings.endpoints()).unwrap_or_default(),
         configured_list: discovery::configured_list(config),
@@ -128,8 +130,12 @@
         can_serve: list.has_endpoints,
         published_version: version_sender,
     };
+    let server = discovery::DiscoveryServer {
+        address: address.clone(),
+        max_list_bytes: MemoryBudget::new(config.memory_limit).max_list_bytes(),
+    };
     let deployment = config.deployment.clone();
-    tokio::spawn(discovery::run(deployment, initial_list, address.clone(), exchange.clone(), config.seed));
+    tokio::spawn(discovery::run(deployment, initial_list, server, exchange.clone(), config.seed));
     DiscoveryParts { address, fleet }
 }
 
--- a/src/discovery/list_parser.rs
+++ b/src/discovery/list_parser.rs
@@ -5,15 +5,13 @@
 use serde::de::IgnoredAny;
 use serde_json::{Deserializer, Error};
 
-/// The longest value in bytes. Holds about ten thousand endpoints, more than any deployment has.
-const MAX_VALUE_BYTES: usize = 4 << 20;
 /// Number of bytes of a skipped value that are logged.
 const MAX_LOGGED_BYTES: usize = 80;
 
 /// A received value is longer than any list.
 #[derive(Debug, PartialEq, thiserror::Error)]
-#[error("endpoint list longer than {MAX_VALUE_BYTES} bytes; check that the setting \"discovery\" is the address of discovery")]
-pub(super) struct ListTooLong;
+#[error("endpoint list longer than {0} bytes; check limits.memory_mb, and that the setting \"discovery\" is the address of discovery")]
+pub(super) struct ListTooLong(usize);
 
 /// One event of a watch.
 pub(super) enum WatchEvent {
@@ -33,8 +31,8 @@
 }
 
 /// An incremental parser with the received bytes that are not parsed yet.
-#[derive(Default)]
 pub(super) struct ListParser {
+    max_value_bytes: usize,
     bytes: Vec<u8>,
     /// The value at the front is incomplete, and no bytes that may complete it have been added since that was found.
     is_known_incomplete: bool,
@@ -43,6 +41,11 @@
 }
 
 impl ListParser {
+    /// Creates a parser of values of at most `max_value_bytes` bytes.
+    pub(super) fn new(max_value_bytes: usize) -> ListParser {
+        ListParser { max_value_bytes, bytes: Vec::new(), is_known_incomplete: false, is_skipping_line: false }
+    }
+
     /// Appends received bytes.
     pub(super) fn push(&mut self, data: &[u8]) {
         // A long list that arrives in small pieces is parsed only when it may be complete. Parsing it again after each piece
@@ -55,13 +58,15 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ListTooLong`] if an incomplete value exceeds [`MAX_VALUE_BYTES`].
+    /// Returns [`ListTooLong`] if an incomplete value exceeds the maximum size.
     pub(super) fn next(&mut self) -> Result<Option<WatchEvent>, ListTooLong> {
         loop {
             match self.step() {
                 Step::Event(event) => return Ok(Some(event)),
                 Step::Skipped => {}
-                Step::Incomplete if self.bytes.len() > MAX_VALUE_BYTES => return Err(ListTooLong),
+                Step::Incomplete if self.bytes.len() > self.max_value_bytes => {
+                    return Err(ListTooLong(self.max_value_bytes));
+                }
                 Step::Incomplete => return Ok(None),
             }
         }
--- a/src/discovery/list_parser/tests.rs
+++ b/src/discovery/list_parser/tests.rs
@@ -3,9 +3,12 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
+/// Maximum size of a value, in bytes.
+const MAX_VALUE_BYTES: usize = 4 << 20;
+
 /// Parses a stream that arrives in these pieces. Returns the version of each list, and `None` for each keep-alive.
 fn events<'a>(pieces: impl IntoIterator<Item = &'a [u8]>) -> Result<Vec<Option<u64>>, ListTooLong> {
-    let mut parser = ListParser::default();
+    let mut parser = ListParser::new(MAX_VALUE_BYTES);
     let mut events = Vec::new();
     for piece in pieces {
         parser.push(piece);
@@ -83,7 +86,7 @@
 #[test]
 fn rejects_an_endless_object_and_skips_an_endless_line_without_buffering_it() {
     let endless_object = [br#"{"rev":1,"all":true,"targets":["#.as_slice(), &vec![b' '; MAX_VALUE_BYTES]];
-    assert_eq!(events(endless_object), Err(ListTooLong));
+    assert_eq!(events(endless_object), Err(ListTooLong(MAX_VALUE_BYTES)));
     // Not an object, so each piece is skipped when it arrives.
     let noise = vec![b'x'; MAX_VALUE_BYTES];
     let end = format!("\n{}", list(9, true));
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -30,16 +30,25 @@
     pub published_version: watch::Sender<u64>,
 }
 
-/// Follows the endpoint list of the discovery server at `address`, which may change, until the process exits. Each new watch
+/// The discovery server.
+pub struct DiscoveryServer {
+    /// Its address, which a reload may change.
+    pub address: watch::Receiver<String>,
+    /// Maximum size of a value that it sends, in bytes.
+    pub max_list_bytes: usize,
+}
+
+/// Follows the endpoint list of the discovery server until the process exits. Each new watch
 /// resumes from the version in use. `seed` seeds the jitter of the backoff.
 pub async fn run(
-    deployment: Arc<DeploymentSettings>, mut state: EndpointListState, address: watch::Receiver<String>,
+    deployment: Arc<DeploymentSettings>, mut state: EndpointListState, server: DiscoveryServer,
     exchange: Exchange, seed: u64,
 ) {
     let forwarders = deployment.polling_forwarders();
     let pollers = Pollers::from_count(forwarders);
     let backoff = Backoff::new(forwarders, pollers.max_backoff(), seed);
-    let start = WatchStart { version: state.version, can_serve: state.can_serve, pollers };
+    let DiscoveryServer { address, max_list_bytes } = server;
+    let start = WatchStart { version: state.version, can_serve: state.can_serve, pollers, max_list_bytes };
     let watcher = Watcher::new(TcpConnector, address, start, backoff);
     watcher
         .run(|address, update| {
--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -131,7 +131,7 @@
         Pollers::Many => FORWARDERS,
     };
     let backoff = Backoff::new(forwarders, pollers.max_backoff(), seed);
-    let start = WatchStart { version: 1, can_serve: true, pollers };
+    let start = WatchStart { version: 1, can_serve: true, pollers, max_list_bytes: 4 << 20 };
     let applied = Arc::new(Mutex::new(Vec::new()));
     let recorded = applied.clone();
     let watcher = Watcher::new(discovery, address, start, backoff).run(move |_, update| {
--- a/src/discovery/tests/capacity.rs
+++ b/src/discovery/tests/capacity.rs
@@ -204,7 +204,8 @@
     for number in 0..forwarders {
         let (address_sender, address) = watch::channel(OLD_ADDRESS.to_string());
         let backoff = Backoff::new(forwarders, Pollers::Many.max_backoff(), seed * 10_000 + number as u64);
-        let start = WatchStart { version: 1, can_serve: true, pollers: Pollers::Many };
+        let start =
+            WatchStart { version: 1, can_serve: true, pollers: Pollers::Many, max_list_bytes: 4 << 20 };
         let applied = applied.clone();
         let watcher = Watcher::new(discovery.clone(), address, start, backoff).run(move |_, update| {
             applied.lock().expect("lock")[number].get_or_insert(started_at.elapsed());
--- a/src/discovery/watcher.rs
+++ b/src/discovery/watcher.rs
@@ -82,6 +82,8 @@
     pub(super) can_serve: bool,
     /// How many forwarders poll the same server.
     pub(super) pollers: Pollers,
+    /// Maximum size of a value that discovery sends, in bytes.
+    pub(super) max_list_bytes: usize,
 }
 
 /// An event that the watcher reacts to.
@@ -101,6 +103,7 @@
     current_address: String,
     version: u64,
     pollers: Pollers,
+    max_list_bytes: usize,
     backoff: Backoff,
     watch: Option<Watch>,
     /// Watches that have not received anything yet.
@@ -115,7 +118,7 @@
     pub(super) fn new(
         connector: C, mut address: watch::Receiver<String>, start: WatchStart, mut backoff: Backoff,
     ) -> Watcher<C> {
-        let WatchStart { version, can_serve, pollers } = start;
+        let WatchStart { version, can_serve, pollers, max_list_bytes } = start;
         let current_address = address.borrow_and_update().clone();
         // In a rollout all forwarders start at the same time and would overload a shared discovery server. A forwarder that has
         // a usable list therefore delays its first poll and serves from that list meanwhile.
@@ -126,6 +129,7 @@
             current_address,
             version,
             pollers,
+            max_list_bytes,
             backoff,
             watch: None,
             polls: JoinSet::new(),
@@ -209,6 +213,7 @@
             address: self.current_address.clone(),
             after_version: self.version,
             response_timeout: self.pollers.poll_timeout(),
+            max_list_bytes: self.max_list_bytes,
             connected_polls: self.connected_polls.clone(),
         };
         // A connected poll without a response indicates a server that is slow because many forwarders poll it. That poll stays
@@ -312,6 +317,7 @@
     address: String,
     after_version: u64,
     response_timeout: Duration,
+    max_list_bytes: usize,
     connected_polls: ConnectedPolls,
 }
 
@@ -341,6 +347,10 @@
         if response.status() != StatusCode::OK {
             return Err(WatchError::Status(response.status()));
         }
-        Ok(Watch { body: response.into_body(), parser: ListParser::default(), _connection: connection_task })
+        Ok(Watch {
+            body: response.into_body(),
+            parser: ListParser::new(self.max_list_bytes),
+            _connection: connection_task,
+        })
     }
 }
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -17,6 +17,15 @@
 /// Smallest part of the limit, as its divisor, that the shares are computed from in a process with less than the program needs.
 const LEAST_SHARED_DIVISOR: u64 = 4;
 
+/// Memory of an endpoint, in bytes: its entry in the registry, its state in the decision module, its copies while a list is applied and
+/// stored, and an idle connection.
+const ENDPOINT_BYTES: u64 = 4_000;
+/// Number of buffers of the longest list that fit into half the share of the endpoint list; the other half is for its state.
+const LIST_BUFFERS: u64 = 8;
+/// Maximum size of a value of discovery, in bytes, in a process with much memory. Holds about ten thousand endpoints, more than any
+/// deployment has.
+const MAX_LIST_BYTES: u64 = 4 << 20;
+
 /// The shares of the memory limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryBudget {
@@ -48,6 +57,17 @@
     pub fn endpoint_list(&self) -> u64 {
         self.shared / 4
     }
+
+    /// Returns the number of endpoints that the state of the endpoint list has room for.
+    pub fn max_endpoints(&self) -> usize {
+        (self.endpoint_list() / 2 / ENDPOINT_BYTES) as usize
+    }
+
+    /// Returns the maximum size of a value of discovery while it is received, in bytes. Several may be received at once, and the
+    /// buffer of each may have grown to twice its size.
+    pub fn max_list_bytes(&self) -> usize {
+        (self.endpoint_list() / 2 / LIST_BUFFERS).min(MAX_LIST_BYTES) as usize
+    }
 }
 
 /// Status file of this process, proc_pid_status(5).
--- a/tests/memory_limit/honest.rs
+++ b/tests/memory_limit/honest.rs
@@ -1,5 +1,5 @@
 //! Clients that send whole requests and measure how long the response takes, on new connections and on one that stays open.
-use crate::stand::message_request;
+use crate::stand::{message_request, unique_number};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -31,10 +31,19 @@
 impl HonestClients {
     /// Starts a client that opens a connection for each request and one that keeps its connection.
     pub fn start(addr: SocketAddr) -> HonestClients {
+        HonestClients::start_with_pause(addr, PAUSE)
+    }
+
+    /// Starts clients that send each request right after the last response.
+    pub fn start_without_pause(addr: SocketAddr) -> HonestClients {
+        HonestClients::start_with_pause(addr, Duration::ZERO)
+    }
+
+    fn start_with_pause(addr: SocketAddr, pause: Duration) -> HonestClients {
         let stop = Arc::new(AtomicBool::new(false));
         let threads = [false, true].map(|keeps_connection| {
             let stop = stop.clone();
-            thread::spawn(move || run_client(addr, keeps_connection, &stop))
+            thread::spawn(move || run_client(addr, keeps_connection, pause, &stop))
         });
         HonestClients { stop, threads: threads.into() }
     }
@@ -46,14 +55,11 @@
     }
 }
 
-fn run_client(addr: SocketAddr, keeps_connection: bool, stop: &AtomicBool) -> Vec<Response> {
+fn run_client(addr: SocketAddr, keeps_connection: bool, pause: Duration, stop: &AtomicBool) -> Vec<Response> {
     let mut responses = Vec::new();
     let mut connection: Option<TcpStream> = None;
-    for number in 0.. {
-        if stop.load(Relaxed) {
-            break;
-        }
-        let request = message_request("stats", &format!("honest-{keeps_connection}-{number}"), "9000m", "");
+    while !stop.load(Relaxed) {
+        let request = message_request("stats", &format!("honest-{}", unique_number()), "9000m", "");
         let started = Instant::now();
         let (mut status, mut stays_open) = match &mut connection {
             Some(socket) => exchange(socket, &request),
@@ -70,7 +76,7 @@
         if !keeps_connection || !stays_open {
             connection = None;
         }
-        thread::sleep(PAUSE);
+        thread::sleep(pause);
     }
     responses
 }
--- a/tests/memory_limit/main.rs
+++ b/tests/memory_limit/main.rs
@@ -2,6 +2,7 @@
 //! answered in time meanwhile. The processes have the least memory and the descriptors that the platform's pages name.
 mod crowd;
 mod honest;
+mod partners;
 #[path = "../stand/mod.rs"]
 mod stand;
 
@@ -81,6 +82,12 @@
 
 impl Forwarder {
     fn start(memory_mb: u32, endpoint: Server) -> Forwarder {
+        Forwarder::start_with(memory_mb, endpoint, start_discovery)
+    }
+
+    fn start_with(
+        memory_mb: u32, endpoint: Server, start_discovery: impl FnOnce(String) -> Server,
+    ) -> Forwarder {
         let one_crowd = ONE_CROWD.lock().unwrap_or_else(PoisonError::into_inner);
         let known = endpoint_list(1, &[(7, endpoint.addr)]);
         let discovery = start_discovery(known.clone());
@@ -108,13 +115,18 @@
     }
 }
 
-/// Checks that each client was answered, and in time. 503 is an answer.
-fn assert_answered(responses: &[Response]) {
-    let slowest = responses.iter().map(|response| response.took).max().unwrap_or_default();
+/// Checks that each client was answered. 503 is an answer.
+fn assert_none_missing(responses: &[Response]) {
     let missing = responses.iter().filter(|response| response.status == 0).count();
-    println!("{} requests, {missing} without a response, the slowest took {slowest:?}", responses.len());
     assert!(responses.len() > 10, "{responses:?}");
     assert_eq!(missing, 0, "requests without a response");
+}
+
+/// Checks that each client was answered, and in time.
+fn assert_answered(responses: &[Response]) {
+    assert_none_missing(responses);
+    let slowest = responses.iter().map(|response| response.took).max().unwrap_or_default();
+    println!("{} requests, the slowest took {slowest:?}", responses.len());
     assert!(slowest <= RESPONSE_TIMEOUT, "{slowest:?}");
 }
 
@@ -171,3 +183,33 @@
     forwarder.assert_memory();
     assert_answered(&responses);
 }
+
+/// The bodies of responses are read and dropped in the background, up to 64 KiB of each.
+#[rstest]
+#[case::chunks_of_one_byte(partners::endpoint_with_chunks_of_one_byte())]
+#[case::an_endless_head(partners::endpoint_with_endless_head())]
+fn responses_of_endpoints_stay_under_a_small_memory_limit(#[case] endpoint: Server) {
+    let mut forwarder = Forwarder::start(SMALL_MEMORY_MB, endpoint);
+    let clients: Vec<_> = (0..8).map(|_| HonestClients::start_without_pause(forwarder.daemon.addr)).collect();
+    sleep(CROWD_TIME);
+    clients.into_iter().for_each(|clients| assert_answered(&clients.stop()));
+    forwarder.assert_memory();
+}
+
+/// Discovery sends a list that fits, then changes that add up to far more than any deployment has.
+#[rstest]
+#[case::many_short_entries(100, 5_000, 8)]
+#[case::long_names(100, 10, 60_000)]
+fn an_endpoint_list_without_end_stays_under_a_small_memory_limit(
+    #[case] changes: u64, #[case] entries: u64, #[case] name_bytes: usize,
+) {
+    let mut forwarder = Forwarder::start_with(SMALL_MEMORY_MB, Server::always("200 OK"), |known| {
+        partners::discovery_with_new_entries(known, changes, entries, name_bytes)
+    });
+    sleep(CROWD_TIME);
+    let honest = HonestClients::start(forwarder.daemon.addr);
+    sleep(CONNECT_TIME * 3);
+    // In a debug build a list of thousands of endpoints delays every step.
+    assert_none_missing(&honest.stop());
+    forwarder.assert_memory();
+}
