Requests that a client left behind are no longer sent on

Cause: hyper notices the end of a connection by reading, and does not read while it holds bytes of a further request. The request being handled when the client closed was accepted, and the next one too: only the write of its answer failed. Change: the socket is shared with the handler of its requests, which gives up a request once the kernel has reported the client's close (EPOLLRDHUP), unread bytes or not; answers that need no wait still go out. hyper then drops what it holds.

--- a/src/client/connection.rs
+++ b/src/client/connection.rs
@@ -1,6 +1,7 @@
 //! Serves one client connection: reads each request within its limits, passes it to the routes, and closes the connection
 //! without losing a response.
 use super::limiter::{ConnectionLimiter, ConnectionPermit, ConnectionShare, ConnectionState, Phase};
+use super::peer::Peer;
 use super::socket::{ClientSocket, DISCARD_TIMEOUT};
 use super::{reached, FINAL_RESPONSE_TIMEOUT};
 use crate::body::{self, BodyError};
@@ -14,7 +15,6 @@
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,11 +68,12 @@
 
 /// Serves one client connection until the client closes it, `connections` closes it, or the limiter evicts it.
 pub(super) async fn serve(
-    io: impl AsyncRead + AsyncWrite + Unpin, routes: Router, limits: Limits, permit: ConnectionPermit,
-    connections: watch::Receiver<ClientConnections>,
+    io: impl AsyncRead + AsyncWrite + Unpin, peer: Peer, routes: Router, limits: Limits,
+    permit: ConnectionPermit, connections: watch::Receiver<ClientConnections>,
 ) {
     let state = permit.state().clone();
     let handler = RequestHandler {
+        peer,
         routes,
         limits,
         state: state.clone(),
@@ -133,9 +134,15 @@
     tokio::time::sleep(CLOSING_GRACE).await;
 }
 
+/// The client closed its side while its request was being handled. The request is withdrawn, and none behind it is read.
+#[derive(Debug, thiserror::Error)]
+#[error("the client closed the connection before its response")]
+struct ClientGone;
+
 /// Handles the requests of one connection.
 #[derive(Clone)]
 struct RequestHandler {
+    peer: Peer,
     routes: Router,
     limits: Limits,
     state: Arc<ConnectionState>,
@@ -144,7 +151,7 @@
 }
 
 impl RequestHandler {
-    async fn handle(self, request: Request<Incoming>) -> Result<Response, Infallible> {
+    async fn handle(self, request: Request<Incoming>) -> Result<Response, ClientGone> {
         self.state.enter(Phase::InRequest);
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
         let complete = if chunked && !self.state.head().has_no_content_length() {
@@ -157,7 +164,12 @@
         };
         let (mut response, body_size) = match complete {
             Ok((request, size)) => {
-                let response = self.routes.oneshot(request).await.into_response();
+                // Polls the routes first: a response that needs no wait may still be read by a client that sends nothing more.
+                let response = tokio::select! {
+                    biased;
+                    response = self.routes.oneshot(request) => response.into_response(),
+                    () = self.peer.closed() => return Err(ClientGone),
+                };
                 (response, Some(size))
             }
             Err(status) => {
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -3,6 +3,7 @@
 //! - `listener`: opens the listening sockets
 //! - `limiter`: bounds the number of open connections
 //! - `connection`: serves one connection
+//! - `peer`: tells whether a client has closed its side
 //! - `socket`: closes a connection without losing a response
 //! - `head`: scans request heads for a header that hyper removes
 //! - [`platform`] and [`as2`]: the two protocols
@@ -14,6 +15,7 @@
 mod head;
 mod limiter;
 mod listener;
+mod peer;
 pub mod platform;
 mod socket;
 #[cfg(test)]
@@ -146,11 +148,12 @@
         if let Err(error) = socket.set_nodelay(true) {
             log::debug!("client connection: cannot set TCP_NODELAY: {error}");
         }
+        let (socket, peer) = peer::share(socket);
         let Some(tls) = tls else {
-            return connection::serve(socket, routes, limits, permit, connections).await;
+            return connection::serve(socket, peer, routes, limits, permit, connections).await;
         };
         match timeout(HANDSHAKE_TIMEOUT, tls.accept(socket)).await {
-            Ok(Ok(stream)) => connection::serve(stream, routes, limits, permit, connections).await,
+            Ok(Ok(stream)) => connection::serve(stream, peer, routes, limits, permit, connections).await,
             Ok(Err(error)) => log::warn!("client connection: TLS handshake failed: {error}"),
             Err(_) => log::warn!("client connection: TLS handshake timed out"),
         }
--- a/src/client/tests.rs
+++ b/src/client/tests.rs
@@ -2,6 +2,7 @@
 //! connection's task does not run between two awaits of a test.
 use super::connection::{self, Limits};
 use super::limiter::{ConnectionLimiter, ConnectionShare, ConnectionState, Phase};
+use super::peer;
 use crate::exchange::ClientConnections;
 use axum::routing::post;
 use axum::Router;
@@ -50,7 +51,8 @@
     let permit = ConnectionLimiter::new(10, 10 * SHARE.connection_bytes).acquire(SHARE).await;
     let state = permit.state().clone();
     let (connections, receiver) = watch::channel(connections);
-    let connection_task = tokio::spawn(connection::serve(socket, routes, LIMITS, permit, receiver));
+    let (socket, peer) = peer::share(socket);
+    let connection_task = tokio::spawn(connection::serve(socket, peer, routes, LIMITS, permit, receiver));
     Fixture { client, connections, state, routed, connection_task }
 }
 
