A process whose folder fails at the start tries again instead of ending

Cause: every error of the start ended the process, also those that pass: a full or failing disk, too few descriptors or buffers. Evidence: with a folder whose files cannot be opened, a restarted process logged cannot start or continue and ended with code 1. Change: errors that pass by themselves are logged and tried again every 0.1 s until SIGTERM; all others end the process as before. Measured: the process waits, and serves once the folder can be opened (tests/disk.rs); on SIGTERM it ends with code 0.

--- a/src/daemon/error.rs
+++ b/src/daemon/error.rs
@@ -2,7 +2,8 @@
 use crate::as2::As2Error;
 use crate::settings::SettingsError;
 use crate::takeover::TakeoverError;
-use std::io;
+use nix::errno::Errno;
+use std::io::{self, ErrorKind};
 
 /// An error that prevents the daemon from starting or continuing. Its text names the file, key or address at fault.
 #[derive(Debug, thiserror::Error)]
@@ -32,3 +33,38 @@
     #[error(transparent)]
     System(io::Error),
 }
+
+/// Errors of the system that may pass, beside those with an [`ErrorKind`]: a device that fails, and too few descriptors or buffers.
+const PASSING_ERRORS: [Errno; 4] = [Errno::EIO, Errno::ENFILE, Errno::EMFILE, Errno::ENOBUFS];
+
+fn may_pass(error: &io::Error) -> bool {
+    let is_passing_kind = matches!(
+        error.kind(),
+        ErrorKind::StorageFull
+            | ErrorKind::QuotaExceeded
+            | ErrorKind::OutOfMemory
+            | ErrorKind::Interrupted
+            | ErrorKind::WouldBlock
+    );
+    let is_passing_number = |number| PASSING_ERRORS.iter().any(|errno| *errno as i32 == number);
+    is_passing_kind || error.raw_os_error().is_some_and(is_passing_number)
+}
+
+impl DaemonError {
+    /// Returns whether the error may pass by itself, so that a later try may succeed: the disk is full or fails for a while, or the
+    /// system is short of descriptors or memory. All other errors need an operator.
+    pub fn may_pass(&self) -> bool {
+        match self {
+            DaemonError::Configuration(SettingsError::Read { source, .. }) => may_pass(source),
+            DaemonError::Takeover(error) => may_pass(error.source()),
+            DaemonError::ManagementAddress(error)
+            | DaemonError::ClientAddress(error)
+            | DaemonError::Journal(error)
+            | DaemonError::System(error) => may_pass(error),
+            DaemonError::Configuration(_) | DaemonError::As2Settings(_) | DaemonError::Tls(_) => false,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -36,6 +36,9 @@
 use tokio::runtime::Runtime;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
+/// Pause before the process tries again to start after an error that may pass.
+const START_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// The earliest time after SIGTERM at which a planned restart kills the process.
 const MIN_KILL_DELAY: Duration = Duration::from_millis(3700);
 
@@ -60,14 +63,27 @@
     let mut generation = Generation::new()?;
     loop {
         let Generation { runtime, mut terminate, hangup } = generation;
-        let left_over = match runtime.block_on(run_once(flags, &mut process, &mut terminate, hangup))? {
-            RunEnd::Terminated => {
+        let left_over = match runtime.block_on(run_once(flags, &mut process, &mut terminate, hangup)) {
+            Ok(RunEnd::Terminated) => {
                 process.end_left_over_calls(terminate.received_at());
                 return Ok(());
             }
-            RunEnd::Released { left_over } => left_over,
+            Ok(RunEnd::Released { left_over }) => {
+                process.has_released = true;
+                left_over
+            }
+            Err(error) if error.may_pass() => {
+                log::error!("cannot start or continue yet, trying again: {error}");
+                process.listener.close();
+                // The owner's lock is free again.
+                process.takeover = StateMachine::default();
+                if runtime.block_on(is_terminated_within(START_RETRY_DELAY, &mut terminate)) {
+                    return Ok(());
+                }
+                None
+            }
+            Err(error) => return Err(error),
         };
-        process.has_released = true;
         // Installs the next handlers before the old ones are dropped: a signal that reaches no handler would be lost (issue 48).
         generation = Generation::new()?;
         generation.terminate.inherit_pending(&mut terminate);
@@ -77,6 +93,11 @@
     }
 }
 
+/// Waits for SIGTERM, at most for `delay`. Returns whether it was received.
+async fn is_terminated_within(delay: Duration, terminate: &mut Terminate) -> bool {
+    tokio::time::timeout(delay, terminate.recv()).await.is_ok()
+}
+
 /// A runtime and its signal handlers. The process creates one for each period in which it waits for the journal or owns
 /// it. The tasks of the period end with the runtime.
 struct Generation {
--- a/src/journal/disk.rs
+++ b/src/journal/disk.rs
@@ -116,7 +116,8 @@
     Ok(disk)
 }
 
-/// A folder whose operations fail while a file lists them (`append`, `cut` for truncating, `create`, `rename`, `remove`).
+/// A folder whose operations fail while a file lists them (`open`, `append`, `cut` for truncating, `create`, `rename`,
+/// `remove`).
 /// For tests that start the real program; not part of release builds.
 #[cfg(debug_assertions)]
 pub struct FaultyFolder {
@@ -157,6 +158,7 @@
         self.folder.read(name)
     }
     fn open_append(&self, name: &str) -> io::Result<Box<dyn FileWriter>> {
+        inject_fault(&self.faults, "open")?;
         Ok(Box::new(FaultyWriter { writer: self.folder.open_append(name)?, faults: self.faults.clone() }))
     }
     fn create(&self, name: &str) -> io::Result<Box<dyn FileWriter>> {
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -29,5 +29,12 @@
     source: io::Error,
 }
 
+impl TakeoverError {
+    /// Returns the error of the system.
+    pub fn source(&self) -> &io::Error {
+        &self.source
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/tests/disk.rs
+++ b/tests/disk.rs
@@ -129,3 +129,38 @@
     let calls = endpoint.received();
     assert!(accepted.iter().all(|id| calls.iter().filter(|h| h.request_id() == id).count() == 1));
 }
+
+/// Guards against a process that ends by itself because its folder cannot be opened for a moment.
+#[test]
+fn a_process_starts_once_its_folder_can_be_opened() {
+    let endpoint = Server::always("200 OK");
+    let known = endpoint_list(1, &[(7, endpoint.addr)]);
+    let discovery = start_discovery(known.clone());
+    let mut daemon = start(&discovery, known, 3.0);
+    assert_eq!(daemon.submit("payout", "before"), 202);
+    set_disk_faults(&daemon, "open");
+    daemon.kill();
+    daemon.restart_without_waiting();
+    daemon.wait_log("cannot start or continue yet, trying again");
+    daemon.wait_log_from(daemon.log().len(), "trying again");
+    assert!(daemon.is_running(), "the process has ended");
+    set_disk_faults(&daemon, "");
+    daemon.wait_log("ready:");
+    assert_eq!(daemon.submit("payout", "after"), 202);
+    endpoint.wait_request("after");
+}
+
+/// A process that cannot open its folder yet still ends on SIGTERM.
+#[test]
+fn a_process_that_waits_for_its_folder_ends_on_sigterm() {
+    let endpoint = Server::always("200 OK");
+    let known = endpoint_list(1, &[(7, endpoint.addr)]);
+    let discovery = start_discovery(known.clone());
+    let mut daemon = start(&discovery, known, 3.0);
+    set_disk_faults(&daemon, "open");
+    daemon.kill();
+    daemon.restart_without_waiting();
+    daemon.wait_log("cannot start or continue yet, trying again");
+    daemon.terminate();
+    assert!(daemon.wait_exit(std::time::Duration::from_millis(3700)).success());
+}
