--- a/benches/held.rs
+++ b/benches/held.rs
@@ -4,7 +4,8 @@
 //! `cargo bench --bench held` takes about a minute and uses 3 GB of memory.
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
 use micaladder::core::{
-    Answer, Core, CoreOptions, Endpoint, EndpointList, Input, ListDelivery, ListRevision, Output, Predecessor,
+    Answer, Core, CoreOptions, Endpoint, EndpointList, HoldingLimits, Input, ListDelivery, ListRevision,
+    Output, Predecessor,
 };
 use micaladder::journal::{Disk, FileWriter, Journal};
 use micaladder::plugins::Plugins;
@@ -98,7 +99,7 @@
         let (journal, records) = Journal::open_on(Box::new(NullDisk), 1 << 50)
             .expect("a disk that discards everything never fails");
         let core = Core::new(CoreOptions {
-            max_endpoints: 10_000,
+            limits: HoldingLimits { message_bytes: 1 << 30, endpoints: 10_000 },
             deployment: deployment(max_pending),
             seed: 7,
             static_endpoints: Vec::new(),
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -1,7 +1,7 @@
 //! Admission of requests. Some are answered at once, the decision module decides on the others, and an accepted message is in
 //! the journal before its request is answered.
 use super::messages::{Answer, Output};
-use super::pending::journal_bytes;
+use super::pending::{journal_bytes, memory_bytes};
 use super::Core;
 use crate::interface::{Action, Event, MessageId, Nanos, Settings};
 use crate::journal::{self, Record};
@@ -86,15 +86,24 @@
         if self.pending.open() >= self.settings.max_pending || self.journal.is_unavailable() {
             return false;
         }
+        let held = self.pending.memory_bytes() + self.deduplication.memory_bytes();
+        if held + memory_bytes(context) > self.message_limit {
+            self.warn_of_capacity("requests rejected: no memory left for messages, see limits.memory_mb");
+            return false;
+        }
         let reserved = self.pending.journal_bytes() + self.deduplication.journal_bytes();
         if reserved + journal_bytes(context) <= self.journal.capacity() {
             return true;
         }
+        self.warn_of_capacity("requests rejected: no capacity left in the journal");
+        false
+    }
+
+    fn warn_of_capacity(&mut self, text: &str) {
         if self.now >= self.capacity_warning_at {
-            log::warn!("requests rejected: no capacity left in the journal");
+            log::warn!("{text}");
             self.capacity_warning_at = self.now + WARNING_INTERVAL_S;
         }
-        false
     }
 
     /// Returns the `Retry-After` of a request that is rejected without the decision module; `None` if the settings have none.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -69,8 +69,8 @@
 pub struct CoreOptions {
     /// Settings of the decision module, and the names of classes, tenants, zones and endpoint kinds.
     pub deployment: Arc<DeploymentSettings>,
-    /// Maximum number of endpoints; further ones are ignored.
-    pub max_endpoints: usize,
+    /// What the core may hold.
+    pub limits: HoldingLimits,
     /// Seed of the decision module's random numbers.
     pub seed: u64,
     /// Endpoints from the settings rather than from discovery; added to each complete endpoint list.
@@ -100,6 +100,15 @@
     MayHaveCalls,
 }
 
+/// What a core may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HoldingLimits {
+    /// Memory of pending messages and of the deduplication cache, in bytes. Beyond it requests are rejected.
+    pub message_bytes: u64,
+    /// Number of endpoints. Further ones are ignored.
+    pub endpoints: usize,
+}
+
 /// How much a core holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Holdings {
@@ -128,6 +137,8 @@
     repeats: Vec<Repeat>,
     ordering: OrderingKeys,
     deduplication: DeduplicationCache,
+    /// Maximum memory of pending messages and of the deduplication cache, in bytes.
+    message_limit: u64,
     endpoints: EndpointRegistry,
     list: ListState,
     health: EndpointHealthStore,
@@ -157,7 +168,7 @@
     pub fn new(options: CoreOptions) -> Core {
         let CoreOptions {
             deployment,
-            max_endpoints,
+            limits,
             seed,
             static_endpoints,
             configured_list,
@@ -180,7 +191,8 @@
             repeats: Vec::new(),
             ordering: OrderingKeys::default(),
             deduplication: DeduplicationCache::default(),
-            endpoints: EndpointRegistry::new(static_endpoints, max_endpoints),
+            message_limit: limits.message_bytes,
+            endpoints: EndpointRegistry::new(static_endpoints, limits.endpoints),
             list: ListState::new(&configured_list.revision, list_delivery, now),
             health: EndpointHealthStore::default(),
             predecessor_calls: PredecessorCalls::default(),
--- a/src/core/pending.rs
+++ b/src/core/pending.rs
@@ -8,6 +8,10 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+/// Memory of a message beside its texts and body, in bytes: its entries in the tables of the core and of the decision module, an
+/// attempt and a callback.
+const MESSAGE_OVERHEAD_BYTES: u64 = 2_048;
+
 /// A message that is open, or complete with an attempt in flight or an unacknowledged callback.
 pub(super) struct PendingMessage {
     pub(super) context: Arc<RequestContext>,
@@ -177,6 +181,11 @@
         self.open
     }
 
+    /// Returns the memory of all messages, in bytes.
+    pub(super) fn memory_bytes(&self) -> u64 {
+        self.journal_bytes + self.messages.len() as u64 * MESSAGE_OVERHEAD_BYTES
+    }
+
     /// Returns the bytes reserved in the journal for all messages.
     pub(super) fn journal_bytes(&self) -> u64 {
         self.journal_bytes
@@ -274,6 +283,11 @@
     }
 }
 
+/// Returns the memory of a message, in bytes.
+pub(super) fn memory_bytes(context: &RequestContext) -> u64 {
+    journal_bytes(context) + MESSAGE_OVERHEAD_BYTES
+}
+
 /// Returns the bytes to reserve in the journal for a message.
 pub(super) fn journal_bytes(context: &RequestContext) -> u64 {
     Journal::reserved_bytes(&context.name, &context.origin, &context.idempotency_key, context.body.len())
--- a/src/core/test_forwarder.rs
+++ b/src/core/test_forwarder.rs
@@ -2,7 +2,8 @@
 use super::test_disk::InMemoryDisk;
 use super::tests::deployment;
 use super::{
-    Core, CoreOptions, Endpoint, EndpointList, Input, ListDelivery, ListRevision, Output, Predecessor,
+    Core, CoreOptions, Endpoint, EndpointList, HoldingLimits, Input, ListDelivery, ListRevision, Output,
+    Predecessor,
 };
 use crate::interface::{EndpointState, Nanos};
 use crate::journal::Journal;
@@ -110,7 +111,7 @@
 ) -> Core {
     let (journal, records) = Journal::open_on(Box::new(disk.clone()), CAPACITY).expect("the journal opens");
     Core::new(CoreOptions {
-        max_endpoints: 10_000,
+        limits: HoldingLimits { message_bytes: 1 << 30, endpoints: 10_000 },
         deployment: deployment.clone(),
         seed: 7,
         static_endpoints: Vec::new(),
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -136,7 +136,7 @@
     fn start_core(disk: &InMemoryDisk, capacity: u64, seed: u64, now: Nanos) -> Core {
         let (journal, records) = Journal::open_on(Box::new(disk.clone()), capacity).expect("journal opens");
         let mut core = Core::new(CoreOptions {
-            max_endpoints: 10_000,
+            limits: HoldingLimits { message_bytes: 1 << 30, endpoints: 10_000 },
             deployment: deployment(),
             seed,
             static_endpoints: Vec::new(),
--- a/src/daemon/startup.rs
+++ b/src/daemon/startup.rs
@@ -2,7 +2,7 @@
 use super::{client_limiter, memory_monitor, DaemonError};
 use crate::as2::As2Settings;
 use crate::client::{self, ConnectionLimiter, SharedListener};
-use crate::core::{Core, CoreOptions, Predecessor};
+use crate::core::{Core, CoreOptions, HoldingLimits, Predecessor};
 use crate::exchange::{Exchange, Outputs};
 use crate::flags::RunFlags;
 use crate::fleet::gossip::FleetHandle;
@@ -33,12 +33,14 @@
     flags: &RunFlags, config: &Config, folder: &SharedFolder, hangup: Signal,
 ) -> Result<Parts, DaemonError> {
     let late_outcomes = folder.open_late_outcomes();
-    let (journal, records) =
-        Journal::open(&config.state_dir, config.disk_limit).map_err(DaemonError::Journal)?;
+    let budget = MemoryBudget::new(config.memory_limit);
+    // The folder's files count as memory.
+    let folder_bytes = config.disk_limit.min(budget.files());
+    let (journal, records) = Journal::open(&config.state_dir, folder_bytes).map_err(DaemonError::Journal)?;
     let as2 = As2Settings::load(&flags.files.as2)?.map(Arc::new);
     let core = Core::new(CoreOptions {
         deployment: config.deployment.clone(),
-        max_endpoints: MemoryBudget::new(config.memory_limit).max_endpoints(),
+        limits: HoldingLimits { message_bytes: budget.messages(), endpoints: budget.max_endpoints() },
         seed: config.seed,
         static_endpoints: as2.as_ref().map(|settings| settings.endpoints()).unwrap_or_default(),
         configured_list: discovery::configured_list(config),
--- a/src/deduplication.rs
+++ b/src/deduplication.rs
@@ -6,6 +6,9 @@
 use crate::Nanos;
 use std::collections::{BTreeMap, HashMap};
 
+/// Memory of an entry beside its texts, in bytes.
+const ENTRY_OVERHEAD_BYTES: u64 = 448;
+
 /// Result of a complete message whose request is repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PriorResult {
@@ -72,6 +75,11 @@
         }
     }
 
+    /// Returns the memory of the cache, in bytes: each entry stands in three tables, with its texts twice.
+    pub fn memory_bytes(&self) -> u64 {
+        2 * self.journal_bytes + self.by_expiry.len() as u64 * ENTRY_OVERHEAD_BYTES
+    }
+
     /// Returns the number of bytes that the journal reserves for the cache.
     pub fn journal_bytes(&self) -> u64 {
         self.journal_bytes
--- a/tests/memory_limit/main.rs
+++ b/tests/memory_limit/main.rs
@@ -11,7 +11,7 @@
 use rstest::rstest;
 use stand::*;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::thread::sleep;
+use std::thread::{self, sleep};
 use std::time::Duration;
 
 /// The least memory that the platform's pages name, in megabytes.
@@ -87,13 +87,21 @@
 
     fn start_with(
         memory_mb: u32, endpoint: Server, start_discovery: impl FnOnce(String) -> Server,
+    ) -> Forwarder {
+        Forwarder::start_with_setup(endpoint, start_discovery, |setup| Setup { memory_mb, ..setup })
+    }
+
+    fn start_with_setup(
+        endpoint: Server, start_discovery: impl FnOnce(String) -> Server,
+        change: impl for<'a> FnOnce(Setup<'a>) -> Setup<'a>,
     ) -> Forwarder {
         let one_crowd = ONE_CROWD.lock().unwrap_or_else(PoisonError::into_inner);
         let known = endpoint_list(1, &[(7, endpoint.addr)]);
         let discovery = start_discovery(known.clone());
         let env = vec![("MICALADDER_LOG".to_string(), "info".to_string())];
-        let daemon = Setup { env, memory_mb, ..setup(&discovery, known) }.start();
-        let memory_limit = memory_mb as usize * BYTES_PER_MEGABYTE;
+        let setup = change(Setup { env, ..setup(&discovery, known) });
+        let memory_limit = setup.memory_mb as usize * BYTES_PER_MEGABYTE;
+        let daemon = setup.start();
         Forwarder { daemon, memory_limit, _endpoint: endpoint, _discovery: discovery, _one_crowd: one_crowd }
     }
 
@@ -213,3 +221,39 @@
     assert_none_missing(&honest.stop());
     forwarder.assert_memory();
 }
+
+/// The settings allow for more messages and a larger folder than the memory has room for.
+#[test]
+fn held_messages_and_the_journal_stay_under_a_small_memory_limit() {
+    let silent = Server::start(|_, _| Reply::RespondAndHold(String::new()));
+    let mut forwarder = Forwarder::start_with_setup(silent, start_discovery, |setup| Setup {
+        memory_mb: SMALL_MEMORY_MB,
+        max_pending: 100_000,
+        disk_mb: 500.0,
+        ..setup
+    });
+    let accepted = submit_large_messages(&forwarder.daemon, 2_000);
+    println!("{accepted} messages of {BODY_BYTES} bytes accepted");
+    assert!(accepted > 40, "{accepted}");
+    forwarder.assert_memory();
+    forwarder.daemon.kill();
+    forwarder.daemon.restart();
+    forwarder.assert_memory();
+}
+
+/// Submits messages with bodies of the maximum size, on eight connections, and returns how many were accepted.
+fn submit_large_messages(daemon: &Daemon, messages: usize) -> usize {
+    const CLIENTS: usize = 8;
+    let submit = |client: usize| {
+        let statuses = (0..messages / CLIENTS).map(|number| {
+            let head = HEAD.replace("slow", &format!("large-{client}-{number}")).replace("9000m", "16000m");
+            let request = [head.as_bytes(), b"Content-Length: 65536\r\n\r\n", &[b'x'; BODY_BYTES]].concat();
+            daemon.send_request(&request).map_or(0, |response| response.status())
+        });
+        statuses.filter(|status| *status == 202).count()
+    };
+    thread::scope(|scope| {
+        let clients: Vec<_> = (0..CLIENTS).map(|client| scope.spawn(move || submit(client))).collect();
+        clients.into_iter().map(|client| client.join().expect("a client panicked")).sum()
+    })
+}
