--- a/tests/memory_limit/main.rs
+++ b/tests/memory_limit/main.rs
@@ -257,3 +257,46 @@
         clients.into_iter().map(|client| client.join().expect("a client panicked")).sum()
     })
 }
+
+/// Size of a flood, more than a client can send in the time of a test.
+const FLOOD_BYTES: usize = 16_000_000;
+
+fn flood_of(request: &str) -> Script {
+    flood(|_| request.to_string())
+}
+
+/// Returns a client that sends these requests at full speed, each with its number.
+fn flood(request: impl Fn(usize) -> String) -> Script {
+    let mut bytes = Vec::new();
+    for number in 0.. {
+        if bytes.len() >= FLOOD_BYTES {
+            break;
+        }
+        bytes.extend_from_slice(request(number).as_bytes());
+    }
+    Script { pause: Duration::ZERO, ..Script::new(bytes, 65_536) }
+}
+
+/// One client floods one connection.
+#[rstest]
+#[case::ready(flood_of("GET /ready HTTP/1.1\r\n\r\n"))]
+#[case::unknown_class(flood_of("POST /none HTTP/1.1\r\nContent-Length: 0\r\n\r\n"))]
+#[case::missing_headers(flood_of("POST /stats HTTP/1.1\r\nContent-Length: 0\r\n\r\n"))]
+#[case::malformed(flood_of("x\r\n\r\n"))]
+#[case::empty_lines(flood_of("\r\n"))]
+#[case::new_names(flood(|number| format!("{}Content-Length: 0\r\n\r\n", HEAD.replace("slow", &format!("new-{number}")))))]
+#[case::new_names_for_an_unknown_destination(flood(|number| {
+    let head = HEAD.replace("slow", &format!("new-{number}")).replace("dest=7", &format!("dest={}", number + 100));
+    format!("{head}Content-Length: 0\r\n\r\n")
+}))]
+#[case::chunks(flood_of(&format!("{HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")))]
+fn a_flood_on_one_connection_neither_exceeds_the_memory_limit_nor_delays_others(#[case] script: Script) {
+    let mut forwarder = Forwarder::start(SMALL_MEMORY_MB, Server::always("200 OK"));
+    let flood = Crowd::start(forwarder.daemon.addr, 1, &script);
+    let honest = HonestClients::start(forwarder.daemon.addr);
+    sleep(CROWD_TIME);
+    let responses = honest.stop();
+    flood.stop();
+    assert_answered(&responses);
+    forwarder.assert_memory();
+}
