--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -140,9 +140,10 @@
     /// Returns the health of the endpoint.
     pub fn health(&self) -> EndpointHealth {
         match self.breaker {
-            CircuitBreaker::Closed if self.suspected => EndpointHealth::Suspected,
-            CircuitBreaker::Closed => EndpointHealth::Healthy,
             CircuitBreaker::Open { .. } => EndpointHealth::Outage,
+            // A call that failed in a slow start may belong to another outage.
+            _ if self.suspected => EndpointHealth::Suspected,
+            CircuitBreaker::Closed => EndpointHealth::Healthy,
             CircuitBreaker::SlowStart { .. } => EndpointHealth::SlowStart,
         }
     }
