--- a/src/client/tests.rs
+++ b/src/client/tests.rs
@@ -198,7 +198,7 @@
 /// after 100 ms.
 #[tokio::test(start_paused = true)]
 async fn evicts_a_connection_with_a_partial_head_only_after_the_client_timeout() {
-    let limiter = ConnectionLimiter::new(1, 1 * SHARE.connection_bytes);
+    let limiter = ConnectionLimiter::new(1, SHARE.connection_bytes);
     let permit = limiter.acquire(SHARE).await;
     let state = permit.state().clone();
     state.bytes_read(b"POST /st");
