Log each call to an unhealthy endpoint and what a rejection set off

The logs of the reports do not say what a forwarder sent to the returning server, what allowed it, or which Retry-After a rejection had.

Change: each call to an endpoint that is not healthy is a line with its health, what allowed the call and the rate; a change of health has the listed rate and the failed calls; a reduced pace has the Retry-After, the pace and the time without calls; a full connection table is a line. No decision changes.

Tests: unit tests and tests/module pass.

--- a/src/bin/micaladder-benchlink/actions.rs
+++ b/src/bin/micaladder-benchlink/actions.rs
@@ -23,6 +23,17 @@
             let text = format!("endpoint health changed to {health:?}, {reason:?} ({endpoint:?})");
             json!({"what": "debug", "relayId": instance, "text": text})
         }
+        Action::RestrictedCall(call) => {
+            let endpoint = name(&call.host);
+            let text =
+                format!("call to an endpoint in {:?} by {:?} ({endpoint:?})", call.health, call.allowance);
+            json!({"what": "debug", "relayId": instance, "text": text})
+        }
+        Action::PaceReduced(reduction) => {
+            let endpoint = name(&reduction.host);
+            let text = format!("pace reduced after a rejection ({endpoint:?})");
+            json!({"what": "debug", "relayId": instance, "text": text})
+        }
         Action::Log { text, host } => {
             let text = match host.as_ref().and_then(name) {
                 Some(endpoint) => format!("{text} ({endpoint})"),
--- a/src/core/endpoint_health.rs
+++ b/src/core/endpoint_health.rs
@@ -4,7 +4,7 @@
 //! A new process starts a slow start at each of them. It does not know for how long the last process has been gone, and reads no
 //! clock to find out, because the wall clock may have been set meanwhile.
 use super::Core;
-use crate::interface::{EndpointHealth, Event, HealthChange, Nanos};
+use crate::interface::{EndpointHealth, Event, HealthChange, Nanos, PaceReduction, RestrictedCall};
 use crate::journal::{StoredEndpointHealth, StoredHealth};
 use std::collections::BTreeMap;
 
@@ -47,9 +47,11 @@
     pub(super) fn health_changed(&mut self, change: &HealthChange) {
         let Some(endpoint) = self.endpoints.get(change.host) else { return };
         let HealthChange { health, reason, rate, last_response_age, served_rate, .. } = *change;
+        let HealthChange { listed_rate, failed_calls, .. } = *change;
         log::info!(
             host = endpoint.uid, dest = endpoint.dest, health:?, reason:?, calls_per_s:? = rate,
-            last_response_s:? = last_response_age.map(Nanos::secs), served_per_s = served_rate;
+            last_response_s:? = last_response_age.map(Nanos::secs), served_per_s = served_rate,
+            listed_per_s = listed_rate, failed_calls;
             "endpoint health changed"
         );
         let stored = match health {
@@ -67,6 +69,25 @@
         }
     }
 
+    /// Logs a call to an endpoint that is not healthy. Their number is limited by the rates that apply there.
+    pub(super) fn log_restricted_call(&self, call: &RestrictedCall) {
+        let Some(endpoint) = self.endpoints.get(call.host) else { return };
+        log::info!(
+            host = endpoint.uid, dest = endpoint.dest, health:? = call.health, allowance:? = call.allowance,
+            calls_per_s = call.rate;
+            "call to an endpoint that is not healthy"
+        );
+    }
+
+    pub(super) fn log_pace_reduction(&self, reduction: &PaceReduction) {
+        let Some(endpoint) = self.endpoints.get(reduction.host) else { return };
+        log::info!(
+            host = endpoint.uid, dest = endpoint.dest, retry_after_s:? = reduction.retry_after.map(Nanos::secs),
+            calls_per_s = reduction.pace, blocked_s = reduction.blocked_for.secs();
+            "pace reduced after a rejection"
+        );
+    }
+
     /// Stores a change. After a failure, the next attempt stores all entries.
     fn store_endpoint_health(&mut self, change: &StoredEndpointHealth) {
         if !self.journal.store_endpoint_health_change(change) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -339,6 +339,8 @@
             // The discovery module keeps up its watch on the endpoint list by itself.
             Action::WatchEndpointList => {}
             Action::HealthChanged(change) => self.health_changed(&change),
+            Action::RestrictedCall(call) => self.log_restricted_call(&call),
+            Action::PaceReduced(reduction) => self.log_pace_reduction(&reduction),
             Action::Log { text, host } => self.log_for_module(text, host),
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -13,7 +13,7 @@
 
 pub use action::Action;
 pub use event::{AttemptEnded, EndpointEntry, EndpointState, Event};
-pub use health::{EndpointHealth, HealthChange, HealthReason};
+pub use health::{CallAllowance, EndpointHealth, HealthChange, HealthReason, PaceReduction, RestrictedCall};
 pub use message::{DestinationId, EndpointId, Message, MessageId, PriorAttempts};
 pub use observation::{Finding, Observation};
 pub use outcome::{LoadReport, Outcome};
--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -1,5 +1,5 @@
 //! Actions that the decision module returns and the forwarder carries out.
-use super::{EndpointId, HealthChange, MessageId, Nanos};
+use super::{EndpointId, HealthChange, MessageId, Nanos, PaceReduction, RestrictedCall};
 
 /// An action for the forwarder. Actions are carried out in the order in which they are emitted.
 #[derive(Clone, Debug, PartialEq)]
@@ -38,6 +38,10 @@
     WatchEndpointList,
     /// The health of an endpoint has changed. For the log only.
     HealthChanged(HealthChange),
+    /// A call to an endpoint that is not healthy starts. For the log only.
+    RestrictedCall(RestrictedCall),
+    /// A rejection has reduced a pace. For the log only.
+    PaceReduced(PaceReduction),
     /// Write a log line for the operator.
     Log {
         /// The text of the log line.
--- a/src/interface/health.rs
+++ b/src/interface/health.rs
@@ -54,4 +54,45 @@
     pub last_response_age: Option<Nanos>,
     /// Calls per second of this forwarder that the endpoint's destination served while it was healthy.
     pub served_rate: f64,
+    /// Listed rate in calls per second.
+    pub listed_rate: f64,
+    /// Consecutive failed and rejected calls.
+    pub failed_calls: u32,
+}
+
+/// What allowed a call to an endpoint that is not healthy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallAllowance {
+    /// A random permit, at the rate of a slow start.
+    Permit,
+    /// The call right after a single failed one.
+    SecondCall,
+    /// A token at the rate of an endpoint that may only be at its limit.
+    LimitToken,
+}
+
+/// A call to an endpoint that is not healthy.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RestrictedCall {
+    /// The endpoint.
+    pub host: EndpointId,
+    /// Its health.
+    pub health: EndpointHealth,
+    /// What allowed the call.
+    pub allowance: CallAllowance,
+    /// Calls per second that this forwarder may send.
+    pub rate: f64,
+}
+
+/// A lower pace after a rejection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PaceReduction {
+    /// The endpoint that rejected a call.
+    pub host: EndpointId,
+    /// Retry-After of the rejection; `None` if there was none.
+    pub retry_after: Option<Nanos>,
+    /// Pace of the route in calls per second.
+    pub pace: f64,
+    /// Time until which no call may start.
+    pub blocked_for: Nanos,
 }
--- a/src/logic/dispatch.rs
+++ b/src/logic/dispatch.rs
@@ -117,6 +117,7 @@
         self.last_call += 1;
         self.destination(dest).calls += 1;
         self.assign_connection(endpoint);
+        self.report_restricted_call(endpoint);
         let endpoint = self.endpoints.entry(endpoint).or_default();
         endpoint.permits.restart(now, &mut self.permit_random);
         endpoint.limit_bucket.level -= 1.0;
--- a/src/logic/outcomes.rs
+++ b/src/logic/outcomes.rs
@@ -148,6 +148,8 @@
         let route = self.routes.entry(key).or_default();
         let rejection = super::pacing::Rejection { sent_at: attempt.sent_at, wait, demand, draw };
         let pace_reduced = route.record_rejected(&self.settings, self.now, &rejection);
+        let pace = route.pace.unwrap_or_default();
+        let blocked_for = route.blocked_until() - self.now;
         let opens_at = route.retry_after_until;
         // A wait as long as an outage is treated as one. All forwarders that wait receive the same end time,
         // so slow start is needed to keep them from overloading the destination when it ends.
@@ -159,7 +161,9 @@
             }
         }
         if pace_reduced {
-            self.log("pace reduced after a rejection", Some(attempt.endpoint));
+            let host = attempt.endpoint;
+            let reduction = PaceReduction { host, retry_after: wait, pace, blocked_for };
+            self.actions.push(Action::PaceReduced(reduction));
         }
         // A call that was rejected below the limit met a full queue or a closed endpoint, which may return
         // with reduced capacity.
@@ -184,6 +188,7 @@
                 .min(self.settings.shortest_objective_secs());
             endpoint.full_until = self.now + pause * (JITTER + draw);
             endpoint.consecutive_full_rejections += 1;
+            self.log("endpoint accepts no connection, paused", Some(id));
         }
     }
 
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -140,6 +140,18 @@
         }
     }
 
+    /// Reports that a call to an endpoint starts, unless the endpoint is healthy.
+    pub(super) fn report_restricted_call(&mut self, host: EndpointId) {
+        let Some(endpoint) = self.endpoints.get(&host) else { return };
+        let health = endpoint.health();
+        if health == EndpointHealth::Healthy {
+            return;
+        }
+        let allowance = endpoint.call_allowance();
+        let call = RestrictedCall { host, health, allowance, rate: endpoint.limited_rate };
+        self.actions.push(Action::RestrictedCall(call));
+    }
+
     /// Reports that the health of an endpoint has changed, and holds the served rate of its destination while
     /// not all of its endpoints are healthy.
     pub(super) fn report_health(&mut self, host: EndpointId, reason: HealthReason) {
@@ -156,8 +168,19 @@
         destination.served_calls.set_held(self.now, !all_healthy);
         let served_rate = destination.served_calls.at(self.now);
         let is_limited = health != EndpointHealth::Healthy;
-        let rate = self.endpoints.get(&host).filter(|_| is_limited).map(|e| self.slow_start_rate(e));
-        let change = HealthChange { host, health, reason, rate, last_response_age, served_rate };
+        let Some(endpoint) = self.endpoints.get(&host) else { return };
+        let rate = is_limited.then(|| self.slow_start_rate(endpoint));
+        let (listed_rate, failed_calls) = (endpoint.listed_rate, endpoint.failed_calls);
+        let change = HealthChange {
+            host,
+            health,
+            reason,
+            rate,
+            last_response_age,
+            served_rate,
+            listed_rate,
+            failed_calls,
+        };
         self.actions.push(Action::HealthChanged(change));
     }
 }
--- a/src/state/call_permits.rs
+++ b/src/state/call_permits.rs
@@ -23,6 +23,8 @@
     updated_at: Nanos,
     /// End of the current permit's validity.
     valid_until: Option<Nanos>,
+    /// The current permit is one for the call after a failed one.
+    is_second_call: bool,
 }
 
 impl CallPermits {
@@ -30,7 +32,7 @@
     /// because the distribution of the wait is memoryless.
     pub fn restart(&mut self, now: Nanos, random: &mut Random) {
         let required = -(1.0 - random.next()).ln();
-        *self = CallPermits { progress: 0.0, required, updated_at: now, valid_until: None };
+        *self = CallPermits { required, updated_at: now, ..CallPermits::default() };
     }
 
     /// Starts the wait anew unless a permit is valid.
@@ -43,6 +45,12 @@
     /// Grants a permit at once that is valid until this time.
     pub fn grant(&mut self, valid_until: Nanos) {
         self.valid_until = Some(valid_until);
+        self.is_second_call = true;
+    }
+
+    /// Returns whether the current permit is one for the call after a failed one.
+    pub fn is_second_call(&self) -> bool {
+        self.is_second_call
     }
 
     /// Advances the process to `now`. `rate` is in permits per second.
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -161,6 +161,15 @@
         }
     }
 
+    /// Returns what allows a call although the endpoint is not healthy.
+    pub fn call_allowance(&self) -> CallAllowance {
+        match self.may_be_at_limit() {
+            true => CallAllowance::LimitToken,
+            false if self.permits.is_second_call() => CallAllowance::SecondCall,
+            false => CallAllowance::Permit,
+        }
+    }
+
     /// Clears the trial if this message carries it.
     pub fn end_trial(&mut self, id: MessageId) {
         if self.trial == Some(id) {
