--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -21,6 +21,8 @@
 const WINDOW_SECS: f64 = 1.5;
 /// Steps in which the share is integrated over a window.
 const INTEGRATION_STEPS: usize = 150;
+/// Time from the start of an outage to the messages of `Traffic::AllKnow`, in seconds.
+const KNOWN_AFTER_SECS: f64 = 0.5;
 /// Time that the destination takes to process a call.
 const CALL: Duration = Duration::from_millis(20);
 /// Time after which a client gives up a hand-in.
@@ -45,6 +47,10 @@
     Close,
     /// Never answers.
     Hang,
+    /// Answers 503 with a Retry-After of this many seconds.
+    RejectFor(f64),
+    /// Answers 503 with a Retry-After that ends with the outage.
+    RejectUntilReturn,
 }
 
 /// Which forwarders get the messages.
@@ -53,6 +59,8 @@
     Even,
     /// One forwarder in ten gets half of the messages.
     Uneven,
+    /// Each forwarder gets a message right after the start of the last outage, so that all know of it.
+    AllKnow,
 }
 
 /// A SIGKILL of several forwarders, which start again at once.
@@ -119,6 +127,12 @@
         self.outages.iter().any(|(start, end)| (*start..*end).contains(&at))
     }
 
+    /// Returns the end of the outage at this time.
+    fn next_return(&self, at: f64) -> f64 {
+        let outage = self.outages.iter().find(|(start, end)| (*start..*end).contains(&at));
+        outage.expect("an outage at this time").1
+    }
+
     /// Returns the start and the end of each warm-up.
     fn warm_ups(&self) -> Vec<(f64, f64)> {
         let next_outages = self.outages.iter().skip(1).map(|outage| outage.0).chain([f64::INFINITY]);
@@ -152,6 +166,10 @@
             let candidates = if is_for_busy { busy } else { self.forwarders };
             arrivals.push((at, (random.next() * candidates as f64) as usize));
         }
+        if self.traffic == Traffic::AllKnow {
+            let outage_at = self.outages.last().expect("an outage").0;
+            arrivals.extend((0..self.forwarders).map(|forwarder| (outage_at + KNOWN_AFTER_SECS, forwarder)));
+        }
         let backlog_at = self.last_return() - 0.5;
         for forwarder in 0..self.forwarders {
             arrivals.extend((0..self.backlog).map(|_| (backlog_at, forwarder)));
@@ -229,10 +247,16 @@
             Failure::Reject => respond("503 Full", "", ""),
             Failure::Close => Reply::Close,
             Failure::Hang => Reply::RespondAndHold(String::new()),
+            Failure::RejectFor(secs) => reject_for(secs),
+            Failure::RejectUntilReturn => reject_for(scenario.next_return(at) - at),
         }
     })
 }
 
+fn reject_for(secs: f64) -> Reply {
+    respond("503 Full", &format!("retry-after: {secs:.3}\r\n"), "")
+}
+
 fn start_forwarders(scenario: &Scenario, endpoints: &[Server]) -> Vec<Daemon> {
     let addresses: Vec<(u64, SocketAddr)> = endpoints.iter().map(|e| (DESTINATION, e.addr)).collect();
     let rate = format!("\"capacity_hint\":{:.1}", scenario.capacity);
@@ -389,3 +413,21 @@
 fn a_fleet_keeps_within_the_budget_of_a_returning_server(#[case] scenario: Scenario) {
     check(&scenario);
 }
+
+/// Returns a scenario like the days of issue 67: a destination of five calls per second, and all forwarders know of its outage.
+fn small_destination() -> Scenario {
+    Scenario { capacity: 5.0, demand: 4.0, traffic: Traffic::AllKnow, backlog: 1, ..Scenario::default() }
+}
+
+/// Guards against issue 67: forwarders that had all been rejected in an outage sent more than the budget after it.
+#[rstest::rstest]
+#[case::short_retry_afters(Scenario { failure: Failure::RejectFor(0.6), ..small_destination() })]
+#[case::retry_afters_until_the_return(Scenario { failure: Failure::RejectUntilReturn, ..small_destination() })]
+#[case::retry_afters_that_end_before_the_outage(Scenario { failure: Failure::RejectFor(3.0), ..small_destination() })]
+#[case::rejections_and_a_restart_in_the_outage(Scenario {
+    failure: Failure::RejectUntilReturn, kill: Some(Kill { at: 5.0, every: 1 }), ..small_destination()
+})]
+#[case::closed_connections(Scenario { failure: Failure::Close, ..small_destination() })]
+fn a_fleet_keeps_within_the_budget_of_a_small_destination(#[case] scenario: Scenario) {
+    check(&scenario);
+}
