--- a/src/core/endpoint_health.rs
+++ b/src/core/endpoint_health.rs
@@ -36,8 +36,7 @@
             self.health.unlisted.extract_if(.., |uid, _| endpoints.id(uid).is_some()).collect();
         for (uid, entry) in listed {
             let Some(host) = self.endpoints.id(&uid) else { continue };
-            let is_failing = entry.health == StoredHealth::Failing;
-            self.events.push(Event::HealthRestored { host, is_failing, served_rate: entry.served_rate });
+            self.events.push(Event::HealthRestored { host, served_rate: entry.served_rate });
             self.health.entries.insert(uid, entry);
         }
     }
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -105,6 +105,8 @@
     sent_attempts: HashMap<u64, u32>,
     /// Number of requests submitted so far.
     requests: u64,
+    /// No request is submitted beyond this number.
+    max_requests: u64,
 }
 
 impl Simulation {
@@ -130,6 +132,7 @@
             completions: HashMap::new(),
             sent_attempts: HashMap::new(),
             requests: 0,
+            max_requests: MAX_REQUESTS,
         }
     }
 
@@ -352,7 +355,7 @@
     /// Runs this many steps, with a new request in about every third step.
     fn run(&mut self, steps: u64) {
         for _ in 0..steps {
-            let requests = if self.requests < MAX_REQUESTS && self.rng.below(3) == 0 {
+            let requests = if self.requests < self.max_requests && self.rng.below(3) == 0 {
                 vec![self.new_request()]
             } else {
                 Vec::new()
@@ -421,6 +424,7 @@
 fn every_accepted_message_completes_across_kills_on_a_healthy_disk() {
     for seed in 1..60 {
         let mut simulation = Simulation::new(seed);
+        simulation.max_requests = 120;
         for _ in 0..3 {
             simulation.run(60 + seed % 50);
             simulation.kill();
@@ -469,7 +473,7 @@
         simulation.inject_faults(&[], 0, 0, 0);
         simulation.run(250);
         assert!(
-            simulation.accepted.len() > accepted_before || simulation.requests == MAX_REQUESTS,
+            simulation.accepted.len() > accepted_before || simulation.requests == simulation.max_requests,
             "seed {seed}: no further message was accepted"
         );
         assert!(!simulation.core.journal.is_unavailable(), "seed {seed}: journal still unavailable");
--- a/src/interface/event.rs
+++ b/src/interface/event.rs
@@ -87,8 +87,6 @@
     HealthRestored {
         /// The endpoint.
         host: EndpointId,
-        /// Calls failed, and none had been served since.
-        is_failing: bool,
         /// [`HealthChange::served_rate`](super::HealthChange::served_rate) of the last change.
         served_rate: f64,
     },
--- a/src/interface/health.rs
+++ b/src/interface/health.rs
@@ -21,6 +21,8 @@
     CallFailed,
     /// Another endpoint of the route did not answer.
     RouteFailed,
+    /// Another endpoint of the route rejected a call.
+    RouteRejected,
     /// Consecutive calls were not answered.
     Unanswered,
     /// Most calls failed.
@@ -67,8 +69,8 @@
     Permit,
     /// The call right after a single failed one.
     SecondCall,
-    /// A token at the rate of an endpoint that may only be at its limit.
-    LimitToken,
+    /// The endpoint served a call shortly before it rejected one, so it may only be at its limit.
+    AtLimit,
 }
 
 /// A call to an endpoint that is not healthy.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -129,9 +129,7 @@
             Event::Resumed(message, prior) => self.resume(message, prior),
             Event::AttemptEnded(ended) => self.attempt_ended(ended),
             Event::RetryAfter { host, dest, wait } => self.record_retry_after(*host, *dest, *wait),
-            Event::HealthRestored { host, is_failing, served_rate } => {
-                self.restore_health(*host, *is_failing, *served_rate)
-            }
+            Event::HealthRestored { host, served_rate } => self.restore_health(*host, *served_rate),
             Event::Withdrawn(id) => self.finish(*id),
             Event::Paused(paused) => self.paused = *paused,
             Event::PeerObservation(observation) => self.apply_peer_observation(observation),
--- a/src/logic/dispatch.rs
+++ b/src/logic/dispatch.rs
@@ -120,7 +120,6 @@
         self.report_restricted_call(endpoint);
         let endpoint = self.endpoints.entry(endpoint).or_default();
         endpoint.permits.restart(now, &mut self.permit_random);
-        endpoint.limit_bucket.level -= 1.0;
         endpoint.trial = Some(first).filter(|_| endpoint.consecutive_unanswered > 0);
         if let CircuitBreaker::Open { since, next_trial, .. } = &mut endpoint.breaker {
             endpoint.trial = Some(first);
--- a/src/logic/gate.rs
+++ b/src/logic/gate.rs
@@ -89,9 +89,9 @@
 
     /// Returns whether the circuit breaker and a suspicion, if any, allow a call now.
     fn breaker_allows(&self, endpoint: &EndpointRecord) -> bool {
-        let has_permit = endpoint.has_permit();
+        let has_permit = endpoint.has_permit(self.now);
         match endpoint.breaker {
-            CircuitBreaker::Closed if !endpoint.suspected => true,
+            CircuitBreaker::Closed if endpoint.suspicion.is_none() => true,
             CircuitBreaker::Closed => {
                 has_permit && (endpoint.consecutive_unanswered == 0 || endpoint.trial.is_none())
             }
--- a/src/logic/health.rs
+++ b/src/logic/health.rs
@@ -19,6 +19,16 @@
     }
 }
 
+/// A served call to an endpoint that may return from an outage.
+struct ServedCall {
+    /// Time at which it was served.
+    now: Nanos,
+    /// Time at which it was sent.
+    sent_at: Nanos,
+    /// Time at which a call was last served before it.
+    last_served_at: Option<Nanos>,
+}
+
 impl EndpointRecord {
     /// Returns the time in seconds without any response after which a call counts as unanswered.
     pub(super) fn response_timeout_secs(&self) -> f64 {
@@ -46,8 +56,15 @@
         self.failure_share *= 1.0 - FAILURE_GAIN;
         let last_served_at = self.last_served_at.replace(now);
         let is_open = matches!(self.breaker, CircuitBreaker::Open { .. });
-        let was_suspected = std::mem::take(&mut self.suspected);
-        let may_be_cold = (was_suspected || is_open) && self.may_be_cold(now, sent_at, last_served_at);
+        if let Some(suspicion) = self.suspicion.as_mut().filter(|suspicion| suspicion.outlasts(sent_at)) {
+            suspicion.record_earlier_call(now);
+            return false;
+        }
+        let may_be_cold = match self.suspicion.take() {
+            Some(suspicion) => self.may_be_cold(&suspicion, &ServedCall { now, sent_at, last_served_at }),
+            // A peer has reported the outage.
+            None => is_open,
+        };
         self.failed_calls = 0;
         if is_open && !may_be_cold {
             self.breaker = CircuitBreaker::Closed;
@@ -55,21 +72,19 @@
         may_be_cold
     }
 
-    /// Returns whether a call that is served at `now` may have ended an outage. `last_served_at` is the time
-    /// of the last served call before the suspicion.
-    fn may_be_cold(&self, now: Nanos, sent_at: Nanos, last_served_at: Option<Nanos>) -> bool {
-        // A limit rejects calls too; the reduced pace is the slow start after it.
-        if self.only_rejected {
-            return false;
-        }
-        if (now - self.suspected_since).secs() >= MIN_OUTAGE_SECS {
+    /// Returns whether a served call may have ended an outage.
+    fn may_be_cold(&self, suspicion: &Suspicion, call: &ServedCall) -> bool {
+        let age = call.now - suspicion.since;
+        if suspicion.cause == SuspicionCause::Outage || age.secs() >= MIN_OUTAGE_SECS {
             return true;
         }
         // An outage needs time between two served calls.
-        let had_time = last_served_at.is_none_or(|at| (now - at).secs() >= MIN_OUTAGE_SECS);
+        let had_time = call.last_served_at.is_none_or(|at| (call.now - at).secs() >= MIN_OUTAGE_SECS);
         // The endpoint was slow rather than silent if it serves a call that was sent before the suspicion.
-        let was_slow = sent_at < self.suspected_since;
-        let is_isolated = self.failed_calls <= 1 && sent_at < self.suspected_since + ISOLATED_FAILURE_SECS;
+        let was_slow = call.sent_at < suspicion.since;
+        let is_isolated = suspicion.cause == SuspicionCause::Failure
+            && self.failed_calls <= 1
+            && call.sent_at <= suspicion.second_call_until();
         had_time && !was_slow && !is_isolated
     }
 
@@ -85,24 +100,24 @@
     /// calls before and did not reject this one, one more call may start at once and further calls at the
     /// rate of a suspected endpoint. A second unanswered call opens the breaker.
     pub(super) fn record_failure(&mut self, id: EndpointId, failure: Failure) {
-        // Both numbers are drawn before any return, so that the sequence of random numbers does not depend on
-        // the known endpoints.
-        let draw = self.random.next();
+        // Drawn before any return, so that the sequence of random numbers does not depend on the known
+        // endpoints.
         let first_trial = MIN_TRIAL_GAP_SECS * self.jitter();
         let now = self.now;
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
         let is_open = matches!(endpoint.breaker, CircuitBreaker::Open { .. });
         let rejected = !failure.unanswered && !failure.may_lose_calls;
-        endpoint.only_rejected = rejected && (endpoint.failed_calls == 0 || endpoint.only_rejected);
         endpoint.failed_calls += 1;
-        if !endpoint.suspected && !is_open {
+        if let Some(suspicion) = endpoint.suspicion.as_mut().filter(|_| !rejected) {
+            suspicion.record_failure();
+        }
+        if endpoint.suspicion.is_none() && !is_open {
             let served_before = endpoint.latency.mean > 0.0;
             let was_closed = endpoint.breaker == CircuitBreaker::Closed;
-            self.suspect(id, HealthReason::CallFailed);
-            self.endpoints.entry(id).or_default().limit_bucket =
-                TokenBucket { level: draw, refilled_at: now };
+            let cause = if rejected { SuspicionCause::Rejection } else { SuspicionCause::Failure };
+            self.suspect(id, cause, HealthReason::CallFailed);
             if served_before && !rejected && was_closed {
-                self.endpoints.entry(id).or_default().permits.grant(now + ISOLATED_FAILURE_SECS);
+                self.grant_second_call(id);
             }
         }
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
@@ -115,6 +130,14 @@
         self.update_breaker(id, failure, now + first_trial);
     }
 
+    /// Allows one call at once to an endpoint at which a call has failed.
+    fn grant_second_call(&mut self, id: EndpointId) {
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
+        if let Some(suspicion) = endpoint.suspicion {
+            endpoint.permits.grant(suspicion.second_call_until());
+        }
+    }
+
     /// Marks the route's other endpoints that have not responded lately as suspected, because an outage
     /// usually affects all endpoints of a route and a returning destination must not be overloaded. The cost:
     /// if only one of several endpoints is down, the first call to another may be delayed.
@@ -126,22 +149,69 @@
         for other_id in &destination.endpoints {
             let Some(other) = self.endpoints.get_mut(other_id) else { continue };
             let no_recent_response = (self.now - other.last_response_at).secs() > MIN_OUTAGE_SECS;
-            let is_healthy = !other.suspected && other.breaker == CircuitBreaker::Closed;
+            let is_healthy = other.suspicion.is_none() && other.breaker == CircuitBreaker::Closed;
             if other.route == route && is_healthy && no_recent_response {
                 other.consecutive_unanswered = 1;
                 suspected.push(*other_id);
             }
         }
         for other in suspected {
-            self.suspect(other, HealthReason::RouteFailed);
+            self.suspect(other, SuspicionCause::Failure, HealthReason::RouteFailed);
         }
     }
 
+    /// Marks the endpoints of a route as suspected, unless they are unhealthy already, because a limit or an
+    /// outage that rejects calls concerns the whole route. An outage replaces an earlier suspicion.
+    pub(super) fn suspect_route(&mut self, route: RouteKey, cause: SuspicionCause, reason: HealthReason) {
+        for id in self.route_endpoints(route) {
+            let Some(endpoint) = self.endpoints.get(&id) else { continue };
+            if cause == SuspicionCause::Outage || endpoint.health() == EndpointHealth::Healthy {
+                self.suspect(id, cause, reason);
+            }
+        }
+    }
+
+    /// Ends the suspicion after rejections at the other endpoints of the route of an endpoint that has served
+    /// a call. `may_be_cold` tells whether the call may have ended an outage.
+    pub(super) fn end_rejections(&mut self, served_by: EndpointId, may_be_cold: bool) {
+        let Some(endpoint) = self.endpoints.get(&served_by) else { return };
+        for id in self.route_endpoints(endpoint.route) {
+            let Some(other) = self.endpoints.get_mut(&id) else { continue };
+            if id == served_by || !other.is_suspected_after_rejections() {
+                continue;
+            }
+            if may_be_cold {
+                self.start_slow_start(id);
+            } else {
+                other.suspicion = None;
+                self.report_health(id, HealthReason::Served);
+            }
+        }
+    }
+
+    /// Returns the endpoints of a route.
+    fn route_endpoints(&self, route: RouteKey) -> Vec<EndpointId> {
+        let Some(destination) = self.destinations.get(&route.0) else { return Vec::new() };
+        let is_on_route =
+            |id: &EndpointId| self.endpoints.get(id).is_some_and(|endpoint| endpoint.route == route);
+        destination.endpoints.iter().copied().filter(is_on_route).collect()
+    }
+
+    /// Returns the time at which an endpoint of the route last served a call.
+    fn last_served_on_route(&self, route: RouteKey) -> Option<Nanos> {
+        let endpoints = self.route_endpoints(route).into_iter();
+        endpoints.filter_map(|id| self.endpoints.get(&id)?.last_served_at).max()
+    }
+
     /// Marks an endpoint as suspected: its calls need permits until one is served.
-    pub(super) fn suspect(&mut self, id: EndpointId, reason: HealthReason) {
+    pub(super) fn suspect(&mut self, id: EndpointId, cause: SuspicionCause, reason: HealthReason) {
+        let Some(endpoint) = self.endpoints.get(&id) else { return };
+        let last_served_at = match cause {
+            SuspicionCause::Rejection => self.last_served_on_route(endpoint.route),
+            SuspicionCause::Failure | SuspicionCause::Outage => endpoint.last_served_at,
+        };
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
-        endpoint.suspected = true;
-        endpoint.suspected_since = self.now;
+        endpoint.suspicion = Some(Suspicion::new(self.now, cause, last_served_at));
         endpoint.permits.restart(self.now, &mut self.permit_random);
         self.report_health(id, reason);
     }
@@ -160,6 +230,7 @@
                 may_lose_calls: failure.may_lose_calls,
             };
             let is_unanswered = endpoint.consecutive_unanswered >= BREAKER_UNANSWERED_CALLS;
+            endpoint.permits.restart(self.now, &mut self.permit_random);
             self.log("breaker opened", Some(id));
             let reason = if is_unanswered { HealthReason::Unanswered } else { HealthReason::FailureShare };
             self.report_health(id, reason);
--- a/src/logic/outcomes.rs
+++ b/src/logic/outcomes.rs
@@ -119,9 +119,16 @@
         self.routes.entry(endpoint.route).or_default().record_served(self.now);
         endpoint.raise_capacity(self.settings.slots);
         let health_before = endpoint.health();
-        if endpoint.record_served(self.now, attempt.sent_at, ended.took.secs()) {
+        let was_rejected = endpoint.is_suspected_after_rejections();
+        let may_be_cold = endpoint.record_served(self.now, attempt.sent_at, ended.took.secs());
+        let is_suspected = endpoint.suspicion.is_some();
+        if was_rejected && !is_suspected {
+            self.end_rejections(attempt.endpoint, may_be_cold);
+        }
+        let Some(endpoint) = self.endpoints.get_mut(&attempt.endpoint) else { return };
+        if may_be_cold {
             self.log("served again after an outage, slow start begins", Some(attempt.endpoint));
-            self.start_slow_start(attempt.endpoint, self.now, HealthReason::Served);
+            self.start_slow_start(attempt.endpoint);
         } else if endpoint.health() != health_before {
             let was_outage = health_before == EndpointHealth::Outage;
             let reason = if was_outage { HealthReason::FalseAlarm } else { HealthReason::Served };
@@ -150,27 +157,21 @@
         let pace_reduced = route.record_rejected(&self.settings, self.now, &rejection);
         let pace = route.pace.unwrap_or_default();
         let blocked_for = route.blocked_until() - self.now;
-        let opens_at = route.retry_after_until;
-        // A wait as long as an outage is treated as one. All forwarders that wait receive the same end time,
-        // so slow start is needed to keep them from overloading the destination when it ends.
-        if wait.is_some_and(|wait| wait.secs() >= MIN_OUTAGE_SECS) {
-            let on_route = self.endpoints.iter().filter(|(_, endpoint)| endpoint.route == key);
-            let on_route: Vec<EndpointId> = on_route.map(|(id, _)| *id).collect();
-            for id in on_route {
-                self.start_slow_start(id, opens_at, HealthReason::LongRetryAfter);
-            }
-        }
         if pace_reduced {
             let host = attempt.endpoint;
             let reduction = PaceReduction { host, retry_after: wait, pace, blocked_for };
             self.actions.push(Action::PaceReduced(reduction));
         }
-        // A call that was rejected below the limit met a full queue or a closed endpoint, which may return
-        // with reduced capacity.
+        if wait.is_some_and(|wait| wait.secs() >= MIN_OUTAGE_SECS) {
+            return self.suspect_route(key, SuspicionCause::Outage, HealthReason::LongRetryAfter);
+        }
+        // A call that was rejected below the limit met a full queue or an endpoint in an outage, which may
+        // return with reduced capacity.
         let below_limit =
             ended.report.is_none_or(|report| report.limit <= 0.0 || report.left > LIMIT_NOT_REACHED_SHARE);
-        if wait.is_none() && below_limit {
+        if below_limit {
             self.record_failure(attempt.endpoint, Failure { unanswered: false, may_lose_calls: false });
+            self.suspect_route(key, SuspicionCause::Rejection, HealthReason::RouteRejected);
         }
     }
 
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -39,7 +39,7 @@
     fn returned_share(&self, settings: &Settings, now: Nanos) -> f64 {
         let cold_share = settings.cold_capacity_share;
         match self.breaker {
-            CircuitBreaker::SlowStart { since } if !self.suspected => {
+            CircuitBreaker::SlowStart { since } if self.suspicion.is_none() => {
                 let warm_up = settings.warm_up.secs().max(MIN_WARM_UP_SECS);
                 cold_share + (1.0 - cold_share) * ((now - since).secs() / warm_up).min(1.0)
             }
@@ -51,7 +51,7 @@
     /// the warm-up may belong to another outage, so the slow start lasts until a call is served again.
     pub(super) fn end_slow_start(&mut self, now: Nanos, warm_up: Nanos) -> bool {
         let is_warm = matches!(self.breaker, CircuitBreaker::SlowStart { since } if now - since >= warm_up);
-        let is_over = is_warm && !self.suspected;
+        let is_over = is_warm && self.suspicion.is_none();
         if is_over {
             self.breaker = CircuitBreaker::Closed;
         }
@@ -60,28 +60,25 @@
 }
 
 impl Balancer {
-    /// Starts the slow start of an endpoint at this time.
-    pub(super) fn start_slow_start(&mut self, id: EndpointId, at: Nanos, reason: HealthReason) {
+    /// Starts the slow start of an endpoint that has served a call.
+    pub(super) fn start_slow_start(&mut self, id: EndpointId) {
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
-        endpoint.breaker = CircuitBreaker::SlowStart { since: at };
-        endpoint.suspected = false;
+        endpoint.breaker = CircuitBreaker::SlowStart { since: self.now };
+        endpoint.suspicion = None;
         endpoint.failure_share = 0.0;
-        endpoint.permits.restart(at, &mut self.permit_random);
-        self.report_health(id, reason);
+        endpoint.permits.restart(self.now, &mut self.permit_random);
+        self.report_health(id, HealthReason::Served);
     }
 
-    /// Starts the slow start of an endpoint that was not healthy when the last process ended. If it was
-    /// failing, the slow start lasts until a call is served, which starts it anew.
-    pub(super) fn restore_health(&mut self, id: EndpointId, is_failing: bool, served_rate: f64) {
+    /// Restricts the calls to an endpoint that was not healthy when the last process ended. The outage may
+    /// still last, so the slow start begins with the first served call.
+    pub(super) fn restore_health(&mut self, id: EndpointId, served_rate: f64) {
         let Some(endpoint) = self.endpoints.get(&id) else { return };
         let dest = endpoint.dest;
         if served_rate.is_finite() {
             self.destination(dest).served_calls = ServedRate::held(self.now, served_rate.max(0.0));
         }
-        self.start_slow_start(id, self.now, HealthReason::Restored);
-        if is_failing {
-            self.suspect(id, HealthReason::Restored);
-        }
+        self.suspect(id, SuspicionCause::Outage, HealthReason::Restored);
     }
 
     /// Returns the calls per second that this forwarder may send to an endpoint that is not healthy.
@@ -96,11 +93,6 @@
         let share = endpoint.returned_share(settings, self.now);
         let served = destination.served_calls.at(self.now);
         let capacity = endpoint.listed_rate;
-        if endpoint.may_be_at_limit() {
-            let demand = destination.demand / destination.endpoints.len().max(1) as f64;
-            return (demand * share * settings.overload_multiple.max(1.0))
-                .max(MIN_SLOW_START_RATE / forwarders);
-        }
         let has_capacity = settings.listed_rates == ListedRates::Nominal && capacity > 0.0;
         let rate = if has_capacity && capacity.is_finite() {
             let part = EQUAL_PART / forwarders + (1.0 - EQUAL_PART) * (served / capacity).min(1.0);
@@ -116,20 +108,26 @@
 
     /// Advances the permits of the endpoints of active destinations, and the tokens of their routes.
     pub(super) fn refill_tokens(&mut self) {
-        for destination in self.active.iter().filter_map(|dest| self.destinations.get(dest)) {
-            for id in &destination.endpoints {
-                let Some(endpoint) = self.endpoints.get(id) else { continue };
-                let rate = self.slow_start_rate(endpoint);
-                let Some(endpoint) = self.endpoints.get_mut(id) else { continue };
-                endpoint.limited_rate = rate;
-                endpoint.permits.advance(self.now, rate, &mut self.permit_random);
-                let depth = (rate * BURST_SECS).max(endpoint.limit_bucket.level).max(1.0);
-                endpoint.limit_bucket.refill(self.now, rate, depth);
-                self.routes.entry(endpoint.route).or_default().refill(self.now);
+        let active = self.active.iter().filter_map(|dest| self.destinations.get(dest));
+        let endpoints: Vec<EndpointId> = active.flat_map(|queue| queue.endpoints.iter().copied()).collect();
+        for id in endpoints {
+            let Some(endpoint) = self.endpoints.get(&id) else { continue };
+            self.routes.entry(endpoint.route).or_default().refill(self.now);
+            if endpoint.health() != EndpointHealth::Healthy {
+                self.advance_permits(id);
             }
         }
     }
 
+    /// Advances the permits and the tokens of an endpoint that is not healthy.
+    fn advance_permits(&mut self, id: EndpointId) {
+        let Some(endpoint) = self.endpoints.get(&id) else { return };
+        let rate = self.slow_start_rate(endpoint);
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
+        endpoint.limited_rate = rate;
+        endpoint.permits.advance(self.now, rate, &mut self.permit_random);
+    }
+
     /// Starts the wait for permits anew at a destination that becomes active. Valid permits stay.
     pub(super) fn restart_permits(&mut self, dest: DestinationId) {
         let Some(destination) = self.destinations.get(&dest) else { return };
@@ -147,7 +145,7 @@
         if health == EndpointHealth::Healthy {
             return;
         }
-        let allowance = endpoint.call_allowance();
+        let allowance = endpoint.call_allowance(self.now);
         let call = RestrictedCall { host, health, allowance, rate: endpoint.limited_rate };
         self.actions.push(Action::RestrictedCall(call));
     }
--- a/src/logic/tuning.rs
+++ b/src/logic/tuning.rs
@@ -89,12 +89,6 @@
 pub(super) const BREAKER_FAILURE_SHARE: f64 = 0.9;
 /// Consecutive unanswered calls that open the breaker; a single lost call is not an outage.
 pub(super) const BREAKER_UNANSWERED_CALLS: u32 = 2;
-/// Shortest duration of an outage in seconds: a Retry-After at least this long is treated as an outage, and a
-/// shorter outage as a false alarm.
-pub(super) const MIN_OUTAGE_SECS: f64 = 2.5;
-/// Time in seconds after a failed call in which another call may start at once. If that call is served, the
-/// failure was isolated and no outage.
-pub(super) const ISOLATED_FAILURE_SECS: f64 = 1.0;
 /// Shortest gap between trials of an open breaker, in seconds.
 pub(super) const MIN_TRIAL_GAP_SECS: f64 = 1.0;
 /// Longest gap between trials of an open breaker, in seconds.
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,6 +11,7 @@
 mod random;
 mod route;
 mod served_rate;
+mod suspicion;
 mod token_bucket;
 
 pub(crate) use bisection::bisect;
@@ -22,4 +23,5 @@
 pub(crate) use random::Random;
 pub(crate) use route::{Route, RouteKey};
 pub(crate) use served_rate::ServedRate;
+pub(crate) use suspicion::{Suspicion, SuspicionCause, MIN_OUTAGE_SECS};
 pub(crate) use token_bucket::TokenBucket;
--- a/src/state/call_permits.rs
+++ b/src/state/call_permits.rs
@@ -53,17 +53,26 @@
         self.is_second_call
     }
 
-    /// Advances the process to `now`. `rate` is in permits per second.
+    /// Advances the process to `now`. `rate` is in permits per second. A permit that has expired meanwhile is
+    /// lost, also if this method was not called while it was valid.
     pub fn advance(&mut self, now: Nanos, rate: f64, random: &mut Random) {
-        if self.valid_until.is_some() {
-            self.restart_if_unused(now, random);
-            return;
+        while self.updated_at < now {
+            let granted_at = self.next(self.updated_at, rate);
+            let valid_until = match self.valid_until {
+                Some(valid_until) => valid_until,
+                None if granted_at > now => break,
+                None => granted_at + VALIDITY_SECS,
+            };
+            if now <= valid_until {
+                self.valid_until = Some(valid_until);
+                break;
+            }
+            self.restart(valid_until, random);
         }
-        self.progress += rate * (now - self.updated_at).secs();
-        self.updated_at = self.updated_at.max(now);
-        if self.progress >= self.required {
-            self.valid_until = Some(now + VALIDITY_SECS);
+        if self.valid_until.is_none() {
+            self.progress += rate * (now - self.updated_at).secs();
         }
+        self.updated_at = self.updated_at.max(now);
     }
 
     /// Returns whether a call may start.
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -1,5 +1,5 @@
 //! The state of an endpoint: its list entry, latency, failures, circuit breaker and connections.
-use super::{CallPermits, RouteKey, TokenBucket};
+use super::{CallPermits, RouteKey, Suspicion, SuspicionCause};
 use crate::interface::*;
 use std::collections::BTreeMap;
 
@@ -95,16 +95,10 @@
     pub trial: Option<MessageId>,
     /// Permits for calls while the endpoint is not healthy, unless it may only be at its limit.
     pub permits: CallPermits,
-    /// Tokens for calls while the endpoint may only be at its limit.
-    pub limit_bucket: TokenBucket,
-    /// Suspected of an outage: its last call failed, or its route is in an outage.
-    pub suspected: bool,
-    /// Start of the suspicion, or of the suspicion that the outage began with.
-    pub suspected_since: Nanos,
+    /// Suspected of an outage; `None` if its last call was served and its route is in no outage.
+    pub suspicion: Option<Suspicion>,
     /// Consecutive failed and rejected calls.
     pub failed_calls: u32,
-    /// All of these calls were rejections.
-    pub only_rejected: bool,
     /// Time at which a call was last served; `None` before the first one.
     pub last_served_at: Option<Nanos>,
     /// Calls per second allowed while the endpoint is not healthy.
@@ -126,12 +120,12 @@
     /// Returns the earliest time of the next call if the breaker or a suspicion limits calls, or `None` if
     /// neither does.
     pub fn next_call(&self, now: Nanos) -> Option<Nanos> {
-        let permit = match self.may_be_at_limit() {
-            true => self.limit_bucket.next_token(now, self.limited_rate),
-            false => self.permits.next(now, self.limited_rate),
-        };
+        if self.may_be_at_limit(now) {
+            return None;
+        }
+        let permit = self.permits.next(now, self.limited_rate);
         match self.breaker {
-            CircuitBreaker::Closed => self.suspected.then_some(permit),
+            CircuitBreaker::Closed => self.suspicion.map(|_| permit),
             CircuitBreaker::Open { next_trial, .. } => Some(next_trial.max(permit)),
             CircuitBreaker::SlowStart { .. } => Some(permit),
         }
@@ -142,29 +136,32 @@
         match self.breaker {
             CircuitBreaker::Open { .. } => EndpointHealth::Outage,
             // A call that failed in a slow start may belong to another outage.
-            _ if self.suspected => EndpointHealth::Suspected,
+            _ if self.suspicion.is_some() => EndpointHealth::Suspected,
             CircuitBreaker::Closed => EndpointHealth::Healthy,
             CircuitBreaker::SlowStart { .. } => EndpointHealth::SlowStart,
         }
     }
 
+    /// Returns whether the endpoint is suspected because calls were rejected, and none failed.
+    pub fn is_suspected_after_rejections(&self) -> bool {
+        self.suspicion.is_some_and(|suspicion| suspicion.cause == SuspicionCause::Rejection)
+    }
+
     /// Returns whether the endpoint is suspected only because it rejected calls, as it does at a limit.
-    pub fn may_be_at_limit(&self) -> bool {
-        self.breaker == CircuitBreaker::Closed && self.suspected && self.only_rejected
+    pub fn may_be_at_limit(&self, now: Nanos) -> bool {
+        self.breaker == CircuitBreaker::Closed
+            && self.suspicion.is_some_and(|suspicion| suspicion.may_be_at_limit(now))
     }
 
     /// Returns whether a call may start although the endpoint is not healthy.
-    pub fn has_permit(&self) -> bool {
-        match self.may_be_at_limit() {
-            true => self.limit_bucket.level >= 1.0,
-            false => self.permits.is_granted(),
-        }
+    pub fn has_permit(&self, now: Nanos) -> bool {
+        self.may_be_at_limit(now) || self.permits.is_granted()
     }
 
     /// Returns what allows a call although the endpoint is not healthy.
-    pub fn call_allowance(&self) -> CallAllowance {
-        match self.may_be_at_limit() {
-            true => CallAllowance::LimitToken,
+    pub fn call_allowance(&self, now: Nanos) -> CallAllowance {
+        match self.may_be_at_limit(now) {
+            true => CallAllowance::AtLimit,
             false if self.permits.is_second_call() => CallAllowance::SecondCall,
             false => CallAllowance::Permit,
         }
