One function lists a route's endpoints; comments say what starts a slow start now

Nothing changes for callers. suspect_route_endpoints walked the destination's endpoints in a loop of its own beside route_endpoints, and wrote EndpointRecord::health out again. Three comments still had a slow start begin with a Retry-After or a restart, or name tokens.

--- a/src/core/endpoint_health.rs
+++ b/src/core/endpoint_health.rs
@@ -1,8 +1,8 @@
 //! The health of endpoints across processes: the decision module reports each change, and the folder keeps the endpoints that are
 //! not healthy for the next process.
 //!
-//! A new process starts a slow start at each of them. It does not know for how long the last process has been gone, and reads no
-//! clock to find out, because the wall clock may have been set meanwhile.
+//! A new process sends to each of them at the lowest rate of a slow start until a call is served. It does not know for how long
+//! the last process has been gone, and reads no clock to find out, because the wall clock may have been set meanwhile.
 use super::Core;
 use crate::interface::{EndpointHealth, Event, HealthChange, Nanos, PaceReduction, RestrictedCall};
 use crate::journal::{StoredEndpointHealth, StoredHealth};
--- a/src/logic/health.rs
+++ b/src/logic/health.rs
@@ -143,21 +143,14 @@
     /// if only one of several endpoints is down, the first call to another may be delayed.
     fn suspect_route_endpoints(&mut self, id: EndpointId) {
         let Some(endpoint) = self.endpoints.get(&id) else { return };
-        let route = endpoint.route;
-        let Some(destination) = self.destinations.get(&endpoint.dest) else { return };
-        let mut suspected = Vec::new();
-        for other_id in &destination.endpoints {
-            let Some(other) = self.endpoints.get_mut(other_id) else { continue };
+        for other_id in self.route_endpoints(endpoint.route) {
+            let Some(other) = self.endpoints.get_mut(&other_id) else { continue };
             let no_recent_response = (self.now - other.last_response_at).secs() > MIN_OUTAGE_SECS;
-            let is_healthy = other.suspicion.is_none() && other.breaker == CircuitBreaker::Closed;
-            if other.route == route && is_healthy && no_recent_response {
+            if other.health() == EndpointHealth::Healthy && no_recent_response {
                 other.consecutive_unanswered = 1;
-                suspected.push(*other_id);
+                self.suspect(other_id, SuspicionCause::Failure, HealthReason::RouteFailed);
             }
         }
-        for other in suspected {
-            self.suspect(other, SuspicionCause::Failure, HealthReason::RouteFailed);
-        }
     }
 
     /// Marks the endpoints of a route as suspected, unless they are unhealthy already, because a limit or an
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -119,7 +119,7 @@
         }
     }
 
-    /// Advances the permits and the tokens of an endpoint that is not healthy.
+    /// Advances the permits of an endpoint that is not healthy.
     fn advance_permits(&mut self, id: EndpointId) {
         let Some(endpoint) = self.endpoints.get(&id) else { return };
         let rate = self.slow_start_rate(endpoint);
--- a/src/state/endpoint.rs
+++ b/src/state/endpoint.rs
@@ -20,7 +20,7 @@
     },
     /// Slow start after an outage: calls are sent at a limited rate.
     SlowStart {
-        /// Time of the first served call, or the end of the Retry-After that the endpoint sent.
+        /// Time of the first served call.
         since: Nanos,
     },
 }
