Tests of a fleet's budget share the formula and the generator; benchlink one debug line

tests/slow_start.rs and the model each integrated the same share over a window, and the allowance for chance stood three times; the xorshift generator stood in both. tests/fleet_common has them now, with 150 steps as in tests/slow_start.rs (the model had 50). No bound or assertion changes. benchlink wrote the same debug line four times.

--- a/src/bin/micaladder-benchlink/actions.rs
+++ b/src/bin/micaladder-benchlink/actions.rs
@@ -5,6 +5,7 @@
 /// Converts an action of an instance to a line of the reply. `endpoint_names` holds the endpoint names by id.
 pub(crate) fn to_json(instance: &str, action: &Action, endpoint_names: &[String]) -> Value {
     let name = |id: &EndpointId| endpoint_names.get(id.0 as usize);
+    let debug = |text: String| json!({"what": "debug", "relayId": instance, "text": text});
     match action {
         Action::Send { id, host, timeout } => json!({"what": "issue", "relayId": instance,
             "req": hex(id), "patienceNs": timeout.0, "host": name(host)}),
@@ -21,25 +22,25 @@
             let HealthChange { host, health, reason, .. } = change;
             let endpoint = name(host);
             let text = format!("endpoint health changed to {health:?}, {reason:?} ({endpoint:?})");
-            json!({"what": "debug", "relayId": instance, "text": text})
+            debug(text)
         }
         Action::RestrictedCall(call) => {
             let endpoint = name(&call.host);
             let text =
                 format!("call to an endpoint in {:?} by {:?} ({endpoint:?})", call.health, call.allowance);
-            json!({"what": "debug", "relayId": instance, "text": text})
+            debug(text)
         }
         Action::PaceReduced(reduction) => {
             let endpoint = name(&reduction.host);
             let text = format!("pace reduced after a rejection ({endpoint:?})");
-            json!({"what": "debug", "relayId": instance, "text": text})
+            debug(text)
         }
         Action::Log { text, host } => {
             let text = match host.as_ref().and_then(name) {
                 Some(endpoint) => format!("{text} ({endpoint})"),
                 None => text.to_string(),
             };
-            json!({"what": "debug", "relayId": instance, "text": text})
+            debug(text)
         }
     }
 }
--- a/tests/fleet/budget.rs
+++ b/tests/fleet/budget.rs
@@ -3,6 +3,7 @@
 use super::fleet_settings;
 use super::simulation::*;
 use crate::common::*;
+use crate::fleet_common::CallBudget;
 use micaladder::*;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
@@ -32,8 +33,6 @@
 const DEMAND_SHARE: f64 = 0.8;
 /// Share of the calls in a window from which on the budget binds: those of forwarders that had a failed or rejected call.
 const NOTIFIED_SHARE: f64 = 2.0 / 3.0;
-/// Steps in which the share of the capacity is integrated over a window.
-const INTEGRATION_STEPS: usize = 50;
 
 /// How the messages are distributed over time and forwarders.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -151,6 +150,7 @@
         let returned = self.returns_at();
         let after: Vec<Arrival> = fleet.arrivals.iter().filter(|a| a.at >= returned).copied().collect();
         let window_ms = (settings.overload_window.0 / NANOS_PER_MS).max(1);
+        let budget = self.budget(settings);
         let (mut first, mut notified) = (0, 0);
         let mut result = Outcomes::default();
         for (last, arrival) in after.iter().enumerate() {
@@ -160,7 +160,7 @@
                 first += 1;
             }
             let calls = last + 1 - first;
-            let load = calls as f64 / self.budget(settings, arrival.at - returned);
+            let load = calls as f64 / budget.in_window(ms(arrival.at - returned).secs());
             result.load = result.load.max(load);
             if notified as f64 >= NOTIFIED_SHARE * calls as f64 {
                 result.notified_load = result.notified_load.max(load);
@@ -169,19 +169,14 @@
         result
     }
 
-    /// Returns the calls that the destination takes in a window that ends this long after the return.
-    fn budget(&self, settings: &Settings, after_return_ms: u64) -> f64 {
-        let span = settings.overload_window.secs();
-        let step = span / INTEGRATION_STEPS as f64;
-        let share_at = |index: usize| {
-            let at = after_return_ms as f64 / 1000.0 - span + (index as f64 + 0.5) * step;
-            let warm = (at / settings.warm_up.secs()).clamp(0.0, 1.0);
-            settings.cold_capacity_share + (1.0 - settings.cold_capacity_share) * warm
-        };
-        let share_secs: f64 = (0..INTEGRATION_STEPS).map(share_at).sum::<f64>() * step;
-        let allowed = settings.overload_multiple * self.capacity as f64 * share_secs;
-        let deviations = if allowed < 30.0 { 3.0 } else { 2.0 };
-        allowed + deviations * allowed.sqrt() + deviations
+    fn budget(&self, settings: &Settings) -> CallBudget {
+        CallBudget {
+            capacity: self.capacity as f64,
+            overload_multiple: settings.overload_multiple,
+            cold_share: settings.cold_capacity_share,
+            warm_up_secs: settings.warm_up.secs(),
+            window_secs: settings.overload_window.secs(),
+        }
     }
 }
 
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,8 @@
 mod budget;
 #[path = "../common/mod.rs"]
 mod common;
+#[path = "../fleet_common/mod.rs"]
+mod fleet_common;
 mod simulation;
 
 use common::*;
--- a/tests/fleet/simulation.rs
+++ b/tests/fleet/simulation.rs
@@ -1,6 +1,7 @@
 //! A fleet of decision modules in virtual time that share a few endpoints. Time advances in steps, arrivals and seeds are fixed, and
 //! nothing reads a clock.
 use crate::common::*;
+use crate::fleet_common::{tolerated_calls, Random};
 use micaladder::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -73,9 +74,7 @@
         let warm = (now.saturating_sub(self.outage.1) as f64 / 1000.0 / settings.warm_up.secs()).min(1.0);
         let share = settings.cold_capacity_share + (1.0 - settings.cold_capacity_share) * warm;
         let allowed = settings.overload_multiple * share * self.listed * span;
-        let deviations = if allowed < 30.0 { 3.0 } else { 2.0 };
-        let threshold = allowed + deviations * allowed.sqrt() + deviations;
-        self.peak_load = self.peak_load.max(self.window.len() as f64 / threshold);
+        self.peak_load = self.peak_load.max(self.window.len() as f64 / tolerated_calls(allowed));
     }
 
     fn is_out(&self, now: u64) -> bool {
@@ -185,18 +184,6 @@
     pub is_notified: bool,
 }
 
-/// A xorshift generator.
-pub struct Random(pub u64);
-
-impl Random {
-    pub fn next(&mut self) -> f64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        (self.0 >> 11) as f64 / (1u64 << 53) as f64
-    }
-}
-
 /// Seed of the simulation's random numbers where a test gives none.
 const DEFAULT_SEED: u64 = 88_172_645_463_325_252;
 
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -4,7 +4,9 @@
 //! The budget follows from the settings: in a span of `tipAfterNs` a destination with capacity C takes N calls, where N is the
 //! integral of `fallMultiple` x share x C over the span and the share rises from `coldFrom` to 1 within `rampTimeNs`. Chance is
 //! allowed for by N + 2√N + 2 calls (N + 3√N + 3 where N is under 30).
+mod fleet_common;
 mod stand;
+use fleet_common::{CallBudget, Random};
 use stand::*;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -19,8 +21,6 @@
 const COLD_SHARE: f64 = 0.2;
 const WARM_UP_SECS: f64 = 9.0;
 const WINDOW_SECS: f64 = 1.5;
-/// Steps in which the share is integrated over a window.
-const INTEGRATION_STEPS: usize = 150;
 /// Time from the start of an outage to the messages of `Traffic::AllKnow`, in seconds.
 const KNOWN_AFTER_SECS: f64 = 0.5;
 /// Time that the destination takes to process a call.
@@ -142,16 +142,14 @@
 
     /// Returns the calls that the settings allow in the window that ends at `end`, for a return at `returned_at`.
     fn budget(&self, returned_at: f64, end: f64) -> f64 {
-        let step = WINDOW_SECS / INTEGRATION_STEPS as f64;
-        let share_at = |index: usize| {
-            let at = end - WINDOW_SECS + (index as f64 + 0.5) * step;
-            let warm = ((at - returned_at) / WARM_UP_SECS).clamp(0.0, 1.0);
-            COLD_SHARE + (1.0 - COLD_SHARE) * warm
+        let budget = CallBudget {
+            capacity: self.capacity,
+            overload_multiple: OVERLOAD_MULTIPLE,
+            cold_share: COLD_SHARE,
+            warm_up_secs: WARM_UP_SECS,
+            window_secs: WINDOW_SECS,
         };
-        let share_secs: f64 = (0..INTEGRATION_STEPS).map(share_at).sum::<f64>() * step;
-        let allowed = OVERLOAD_MULTIPLE * self.capacity * share_secs;
-        let deviations = if allowed < 30.0 { 3.0 } else { 2.0 };
-        allowed + deviations * allowed.sqrt() + deviations
+        budget.in_window(end - returned_at)
     }
 
     /// Returns when each forwarder gets a message, as pairs of time and forwarder.
@@ -179,18 +177,6 @@
     }
 }
 
-/// A xorshift generator.
-struct Random(u64);
-
-impl Random {
-    fn next(&mut self) -> f64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        (self.0 >> 11) as f64 / (1u64 << 53) as f64
-    }
-}
-
 /// A call that reached the destination.
 #[derive(Clone, Copy, Debug)]
 struct Call {
