Log each call that delivered nothing, with its endpoint, its outcome and its duration

The logs show a paused endpoint at destination 10 and no line on what its calls ended with; outcomes that change no health (responses that cannot be read, calls skipped before the first byte) leave no line at all.

Change: one line at INFO for each attempt that ended without a delivery. Decisions are unchanged.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -57,12 +57,13 @@
         let Some(message) = self.pending.get_mut(id) else { return };
         let Some(in_flight) = message.attempt_mut(attempt) else { return };
         let took = self.now - in_flight.started;
-        let sent = in_flight.stage == Stage::Sent;
+        let (host, sent) = (in_flight.host, in_flight.stage == Stage::Sent);
         let outcome = if sent { outcome } else { outcome_before_first_byte(outcome) };
         if outcome == Outcome::NotSent {
             message.attempts -= 1;
         }
         let context = message.context.clone();
+        self.log_call_without_delivery(&context, host, outcome, took);
         let may_have_run = !outcome.never_ran();
         self.pending.end_attempt(id, may_have_run);
         self.plugins.on_outcome(&context, self.details(&context), &plugins::outcome_text(outcome));
@@ -77,6 +78,20 @@
         self.remove_if_done(id);
     }
 
+    /// Logs an attempt that reached an endpoint, or was meant to, and delivered nothing. The log limits the number of lines.
+    fn log_call_without_delivery(
+        &self, context: &RequestContext, host: EndpointId, outcome: Outcome, took: Nanos,
+    ) {
+        if matches!(outcome, Outcome::Ok | Outcome::NotSent | Outcome::Cancelled) {
+            return;
+        }
+        let Some(endpoint) = self.endpoints.get(host) else { return };
+        log::info!(
+            message = context.name, host = endpoint.uid, dest = endpoint.dest, outcome:? = outcome, took_s = took.secs();
+            "call delivered nothing"
+        );
+    }
+
     fn attempt_delivered(&mut self, id: MessageId, context: &RequestContext) {
         let completion = self.completion_of_delivery(context);
         if self.pending.get_open(id).is_some() {
