--- a/tests/fleet/budget.rs
+++ b/tests/fleet/budget.rs
@@ -5,6 +5,7 @@
 use crate::common::*;
 use crate::fleet_common::CallBudget;
 use micaladder::*;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
 
@@ -72,14 +73,16 @@
 
 /// What came of a scenario.
 #[derive(Debug, Default)]
-struct Outcomes {
+pub struct Outcomes {
     /// The highest number of calls in a window as a share of the budget.
-    load: f64,
+    pub load: f64,
     /// The same for windows in which the budget binds.
-    notified_load: f64,
+    pub notified_load: f64,
+    /// The fullest of these windows.
+    pub fullest: String,
     /// Messages served from the return to the end, and those of them that were served in time.
-    served: usize,
-    in_time: usize,
+    pub served: usize,
+    pub in_time: usize,
 }
 
 impl Scenario {
@@ -97,7 +100,7 @@
         // Rejections above the limit are not the subject, and calls in a window are counted in any case.
         let one = || Endpoint {
             outage,
-            failure: self.failure,
+            failures: vec![self.failure],
             listed: self.capacity as f64,
             ..endpoint(MANY_CONNECTIONS, NO_LIMIT)
         };
@@ -125,7 +128,7 @@
         }
         let end = self.returns_at() + WARM_UP_MS;
         self.run_until(&mut fleet, end);
-        let mut result = self.result(&fleet, &settings);
+        let mut result = load_after_return(&fleet, &settings, self.capacity as f64, self.returns_at());
         self.run_until(&mut fleet, end + WARM_UP_MS);
         result.served = fleet.counts.served - served;
         result.in_time = fleet.counts.in_time - in_time;
@@ -145,39 +148,48 @@
             fleet.run(step, self.demand());
         }
     }
+}
 
-    fn result(&self, fleet: &Fleet, settings: &Settings) -> Outcomes {
-        let returned = self.returns_at();
-        let after: Vec<Arrival> = fleet.arrivals.iter().filter(|a| a.at >= returned).copied().collect();
-        let window_ms = (settings.overload_window.0 / NANOS_PER_MS).max(1);
-        let budget = self.budget(settings);
-        let (mut first, mut notified) = (0, 0);
-        let mut result = Outcomes::default();
-        for (last, arrival) in after.iter().enumerate() {
-            notified += usize::from(arrival.is_notified);
-            while after[first].at + window_ms <= arrival.at {
-                notified -= usize::from(after[first].is_notified);
-                first += 1;
-            }
-            let calls = last + 1 - first;
-            let load = calls as f64 / budget.in_window(ms(arrival.at - returned).secs());
-            result.load = result.load.max(load);
-            if notified as f64 >= NOTIFIED_SHARE * calls as f64 {
-                result.notified_load = result.notified_load.max(load);
-            }
-        }
-        result
+/// Describes a window: when it ends after the return, and its calls by what allowed them.
+fn describe(window: &[Arrival], returned: u64) -> String {
+    let mut allowances: BTreeMap<String, usize> = BTreeMap::new();
+    for arrival in window {
+        let allowance = arrival.allowance.map_or("Healthy".into(), |allowance| format!("{allowance:?}"));
+        *allowances.entry(allowance).or_default() += 1;
     }
+    let end = window.last().map_or(0, |arrival| arrival.at - returned);
+    format!("{} calls until {end} ms after the return {allowances:?}", window.len())
+}
 
-    fn budget(&self, settings: &Settings) -> CallBudget {
-        CallBudget {
-            capacity: self.capacity as f64,
-            overload_multiple: settings.overload_multiple,
-            cold_share: settings.cold_capacity_share,
-            warm_up_secs: settings.warm_up.secs(),
-            window_secs: settings.overload_window.secs(),
+/// Returns the load, until all of the capacity is back, of a destination with this capacity in calls per second that returned at this time.
+pub fn load_after_return(fleet: &Fleet, settings: &Settings, capacity: f64, returned: u64) -> Outcomes {
+    let warm_up = returned..returned + settings.warm_up.0 / NANOS_PER_MS;
+    let after: Vec<Arrival> = fleet.arrivals.iter().filter(|a| warm_up.contains(&a.at)).copied().collect();
+    let window_ms = (settings.overload_window.0 / NANOS_PER_MS).max(1);
+    let budget = CallBudget {
+        capacity,
+        overload_multiple: settings.overload_multiple,
+        cold_share: settings.cold_capacity_share,
+        warm_up_secs: settings.warm_up.secs(),
+        window_secs: settings.overload_window.secs(),
+    };
+    let (mut first, mut notified) = (0, 0);
+    let mut result = Outcomes::default();
+    for (last, arrival) in after.iter().enumerate() {
+        notified += usize::from(arrival.is_notified);
+        while after[first].at + window_ms <= arrival.at {
+            notified -= usize::from(after[first].is_notified);
+            first += 1;
+        }
+        let calls = last + 1 - first;
+        let load = calls as f64 / budget.in_window(ms(arrival.at - returned).secs());
+        result.load = result.load.max(load);
+        if notified as f64 >= NOTIFIED_SHARE * calls as f64 && load > result.notified_load {
+            result.notified_load = load;
+            result.fullest = describe(&after[first..=last], returned);
         }
     }
+    result
 }
 
 /// Returns the scenarios of an outage: all sizes, kinds of traffic and restarts. `FLEET_SEEDS` is the number of seeds, 1 if it is not
@@ -204,15 +216,17 @@
 }
 
 /// Plays the scenarios, several at a time, and returns them with what came of each.
-fn play_all(scenarios: &[Scenario]) -> Vec<(Scenario, Outcomes)> {
+pub fn play_all<S: Clone + Sync + Send>(
+    scenarios: &[S], play: impl Fn(&S) -> Outcomes + Sync,
+) -> Vec<(S, Outcomes)> {
     let next = AtomicUsize::new(0);
     let played = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
         for _ in 0..PARALLEL_PLAYS {
             scope.spawn(|| {
                 while let Some(scenario) = scenarios.get(next.fetch_add(1, Ordering::Relaxed)) {
-                    let outcomes = scenario.play();
-                    played.lock().expect("lock").push((*scenario, outcomes));
+                    let outcomes = play(scenario);
+                    played.lock().expect("lock").push((scenario.clone(), outcomes));
                 }
             });
         }
@@ -235,7 +249,7 @@
 #[case::errors_of_three_endpoints(Failure::Outcome(Outcome::Error), 3)]
 #[case::rejections_of_three_endpoints(Failure::Outcome(Outcome::Rejected(None)), 3)]
 fn a_fleet_keeps_within_the_budget_after_any_outage(#[case] failure: Failure, #[case] endpoints: usize) {
-    let mut played = play_all(&scenarios(failure, endpoints));
+    let mut played = play_all(&scenarios(failure, endpoints), Scenario::play);
     played.sort_by(|a, b| b.1.notified_load.total_cmp(&a.1.notified_load));
     for (scenario, outcomes) in &played {
         println!("{outcomes:?} {scenario:?}");
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod common;
 #[path = "../fleet_common/mod.rs"]
 mod fleet_common;
+mod outages;
 mod simulation;
 
 use common::*;
@@ -172,7 +173,7 @@
     fleet.uneven = uneven && forwarders >= 10;
     // Rejections above the limit are not the subject, and calls in a window are counted in any case.
     fleet.endpoints[0].limit = capacity;
-    fleet.endpoints[0].failure = Failure::Outcome(failure);
+    fleet.endpoints[0].failures = vec![Failure::Outcome(failure)];
     fleet.endpoints[0].outage = (5_000, 13_000);
     fleet.run(14_500, demand);
     match event {
--- a/tests/fleet/simulation.rs
+++ b/tests/fleet/simulation.rs
@@ -15,6 +15,8 @@
 const CLOCK_START_MS: u64 = 1_000_000;
 /// Time in ms without any response after which a member gives up a call to a silent endpoint.
 const CALL_TIMEOUT_MS: u64 = 4000;
+/// Time in ms after which a member gives up a connect.
+const CONNECT_TIMEOUT_MS: u64 = 1000;
 /// Shortest and longest Retry-After in ms of a rejection that names a short one.
 const SHORT_RETRY_AFTER_MS: (f64, f64) = (330.0, 800.0);
 /// Retry-After in ms of `Failure::RejectWithEarlyRetryAfter`: longer than the shortest outage, shorter than the simulated ones.
@@ -39,6 +41,10 @@
     RejectUntilReturn,
     /// It is rejected, and some of the rejections have a Retry-After that ends with the outage.
     RejectWithSomeRetryAfters,
+    /// It is rejected, and the load report says that the limit is used up.
+    RejectAtReportedLimit,
+    /// Its connection is not established.
+    ConnectHang,
 }
 
 /// An endpoint that all forwarders share. The endpoint at index n has id n.
@@ -54,7 +60,10 @@
     pub recent_calls: VecDeque<u64>,
     /// Start and end of its outage.
     pub outage: (u64, u64),
-    pub failure: Failure,
+    /// What happens to its calls in the outage; for each call, one of them.
+    pub failures: Vec<Failure>,
+    /// Share of the calls in the outage that fail; the others are served.
+    pub failing_share: f64,
     /// Arrival times of the calls of the last `overload_window`.
     pub window: VecDeque<u64>,
     /// The maximum over time of the calls in `window` divided by the overload threshold N + 2√N + 2 (N + 3√N + 3 where N is under
@@ -91,7 +100,8 @@
         listed: limit as f64,
         recent_calls,
         outage: (0, 0),
-        failure: Failure::Outcome(Outcome::ConnectFailed),
+        failures: vec![Failure::Outcome(Outcome::ConnectFailed)],
+        failing_share: 1.0,
         window,
         peak_load: 0.0,
     }
@@ -99,11 +109,13 @@
 
 /// A call in flight, with its end time and outcome.
 struct Call {
+    started_at: u64,
     ends_at: u64,
     id: u64,
     attempt: u32,
     host: usize,
     outcome: Outcome,
+    report: Option<LoadReport>,
 }
 
 /// A message without a final answer, as the journal has it.
@@ -182,6 +194,8 @@
     pub at: u64,
     /// A call of its forwarder had failed or was rejected at this destination in the last outage.
     pub is_notified: bool,
+    /// What allowed it; `None` if the endpoint was healthy to its forwarder.
+    pub allowance: Option<CallAllowance>,
 }
 
 /// Seed of the simulation's random numbers where a test gives none.
@@ -289,6 +303,12 @@
         }
     }
 
+    /// Hands a message to a member.
+    pub fn submit_to(&mut self, member: usize) {
+        let id = self.next_message();
+        self.step(member, &[id]);
+    }
+
     /// Hands this number of messages to each member at once.
     pub fn submit_to_all(&mut self, messages: usize) {
         for n in 0..self.members.len() {
@@ -343,7 +363,7 @@
     fn end_call(&mut self, n: usize, call: &Call) -> Event {
         let now = self.now;
         let m = &mut self.members[n];
-        let Call { id, attempt, host, outcome, .. } = *call;
+        let Call { id, attempt, host, outcome, report, .. } = *call;
         match outcome {
             Outcome::Ok => {
                 m.busy[host] -= 1;
@@ -362,13 +382,19 @@
                 entry.prior.first_possible_run = Some((m.forwarder.now, 0));
             }
         }
-        attempt_ended(id, attempt, outcome, CALL_MS)
+        let Event::AttemptEnded(ended) = attempt_ended(id, attempt, outcome, now - call.started_at) else {
+            unreachable!("the end of an attempt")
+        };
+        Event::AttemptEnded(AttemptEnded { report, ..ended })
     }
 
     fn carry_out(&mut self, n: usize, actions: Vec<Action>) {
+        let mut allowance = None;
         for action in actions {
             match action {
-                Action::Send { id, host, timeout } => self.call(n, id.0, host.0 as usize, timeout),
+                Action::Send { id, host, timeout } => {
+                    self.call(n, id.0, host.0 as usize, timeout, allowance.take());
+                }
                 Action::CloseIdle(host) => self.members[n].idle[host.0 as usize].clear(),
                 Action::WakeAt(at) => self.members[n].wake_at = Some(at),
                 Action::Reject { id, .. } | Action::Fail(id) => drop(self.members[n].journal.remove(&id.0)),
@@ -376,13 +402,14 @@
                     self.members[n].health.insert(change.host.0, change);
                 }
                 Action::Cancel { .. } | Action::WatchEndpointList | Action::Log { .. } => {}
-                Action::RestrictedCall(_) | Action::PaceReduced(_) => {}
+                Action::RestrictedCall(call) => allowance = Some(call.allowance),
+                Action::PaceReduced(_) => {}
             }
         }
     }
 
     /// Starts a call of a member and decides its outcome.
-    fn call(&mut self, n: usize, id: u64, host: usize, timeout: Nanos) {
+    fn call(&mut self, n: usize, id: u64, host: usize, timeout: Nanos, allowance: Option<CallAllowance>) {
         let has_room = self.connections(host) < self.endpoints[host].max_connections;
         let m = &mut self.members[n];
         let attempts = m.attempts.entry(id).or_default();
@@ -399,10 +426,18 @@
         }
         let is_notified =
             m.failed_at.iter().any(|failed| self.endpoints[*failed].dest == self.endpoints[host].dest);
-        self.arrivals.push(Arrival { at: self.now, is_notified });
+        self.arrivals.push(Arrival { at: self.now, is_notified, allowance });
         let e = &mut self.endpoints[host];
-        let (duration, outcome) = if e.is_out(self.now) {
-            fail(e, self.now, timeout, &mut self.random)
+        let fails = e.is_out(self.now) && (e.failing_share >= 1.0 || self.random.next() < e.failing_share);
+        let mut report = None;
+        let (duration, outcome) = if fails {
+            let failure = match e.failures[..] {
+                [failure] => failure,
+                _ => e.failures[(self.random.next() * e.failures.len() as f64) as usize],
+            };
+            let used_up = LoadReport { left: 0.0, limit: e.listed };
+            report = (failure == Failure::RejectAtReportedLimit).then_some(used_up);
+            fail(e, failure, self.now, timeout, &mut self.random)
         } else if !reused && !has_room {
             self.counts.connection_limited += 1;
             (STEP_MS, Outcome::ConnectionLimit)
@@ -417,20 +452,32 @@
                 (CALL_MS, Outcome::Ok)
             }
         };
-        m.in_flight.push(Call { ends_at: self.now + duration, id, attempt, host, outcome });
+        m.in_flight.push(Call {
+            started_at: self.now,
+            ends_at: self.now + duration,
+            id,
+            attempt,
+            host,
+            outcome,
+            report,
+        });
     }
 }
 
 /// Returns the duration in ms and the outcome of a call in an outage.
-fn fail(endpoint: &Endpoint, now: u64, timeout: Nanos, random: &mut Random) -> (u64, Outcome) {
+fn fail(
+    endpoint: &Endpoint, failure: Failure, now: u64, timeout: Nanos, random: &mut Random,
+) -> (u64, Outcome) {
     let until_return = ms(endpoint.outage.1 - now);
-    let wait = match endpoint.failure {
+    let wait = match failure {
         Failure::Outcome(outcome) => return (STEP_MS, outcome),
         Failure::Hang => {
             let timeout_ms = (timeout.0 / NANOS_PER_MS).min(CALL_TIMEOUT_MS);
             return (timeout_ms.max(STEP_MS), Outcome::Timeout);
         }
+        Failure::ConnectHang => return (CONNECT_TIMEOUT_MS, Outcome::ConnectFailed),
         Failure::RejectAndClose => return (STEP_MS, Outcome::ConnectionLimit),
+        Failure::RejectAtReportedLimit => None,
         Failure::RejectWithShortRetryAfter => {
             let (shortest, longest) = SHORT_RETRY_AFTER_MS;
             Some(ms((shortest + (longest - shortest) * random.next()) as u64))
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -8,6 +8,7 @@
 mod stand;
 use fleet_common::{CallBudget, Random};
 use stand::*;
+use std::hash::{Hash, Hasher};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -33,6 +34,10 @@
 const SERVED_SECS: f64 = 3.0;
 const SERVED_SHARE: f64 = 0.8;
 
+/// Distance between the seeds of the outages that are drawn in two runs of the tests.
+const DRAWN_PER_SEED: u64 = 10;
+/// The first random numbers of neighbouring seeds are alike.
+const DISCARDED_NUMBERS: usize = 8;
 /// Distance between the seeds of the fleets of two runs; more than the forwarders of a fleet.
 const FLEET_SEEDS: u64 = 1000;
 
@@ -43,6 +48,10 @@
     Error,
     /// Answers 503 without a Retry-After.
     Reject,
+    /// Answers 503 without a Retry-After and closes the connection.
+    RejectAndClose,
+    /// Answers with something other than HTTP.
+    Garble,
     /// Ends the connection without an answer.
     Close,
     /// Never answers.
@@ -84,6 +93,10 @@
     demand: f64,
     traffic: Traffic,
     failure: Failure,
+    /// What replaces `failure` after this time, if anything.
+    later_failure: Option<(f64, Failure)>,
+    /// Share of the calls in an outage that fail.
+    failing_share: f64,
     /// Start and end of each outage.
     outages: Vec<(f64, f64)>,
     /// Messages that each forwarder gets at once, half a second before the last return.
@@ -101,6 +114,8 @@
             demand: 14.0,
             traffic: Traffic::Even,
             failure: Failure::Error,
+            later_failure: None,
+            failing_share: 1.0,
             outages: vec![(3.0, 11.0)],
             backlog: 0,
             kill: None,
@@ -127,6 +142,18 @@
         self.outages.iter().any(|(start, end)| (*start..*end).contains(&at))
     }
 
+    /// Returns what a call at this time ends with, in an outage.
+    fn failure_at(&self, at: f64) -> Failure {
+        self.later_failure.filter(|(from, _)| at >= *from).map_or(self.failure, |(_, failure)| failure)
+    }
+
+    /// Returns whether a call with this id is served even in an outage.
+    fn is_served(&self, id: &str) -> bool {
+        let mut hash = std::hash::DefaultHasher::new();
+        (self.seed, id).hash(&mut hash);
+        Random(hash.finish() | 1).next() >= self.failing_share
+    }
+
     /// Returns the end of the outage at this time.
     fn next_return(&self, at: f64) -> f64 {
         let outage = self.outages.iter().find(|(start, end)| (*start..*end).contains(&at));
@@ -224,13 +251,15 @@
     let (run, scenario) = (run.clone(), scenario.clone());
     Server::start(move |request, _| {
         let at = run.count_call(request);
-        if !scenario.is_out(at) {
+        if !scenario.is_out(at) || scenario.is_served(request.request_id()) {
             thread::sleep(CALL);
             return respond("200 OK", "", "");
         }
-        match scenario.failure {
+        match scenario.failure_at(at) {
             Failure::Error => respond("500 Failed", "", ""),
             Failure::Reject => respond("503 Full", "", ""),
+            Failure::RejectAndClose => respond("503 Full", "connection: close\r\n", ""),
+            Failure::Garble => Reply::Respond("garbled\r\n\r\n".into()),
             Failure::Close => Reply::Close,
             Failure::Hang => Reply::RespondAndHold(String::new()),
             Failure::RejectFor(secs) => reject_for(secs),
@@ -414,6 +443,47 @@
     failure: Failure::RejectUntilReturn, kill: Some(Kill { at: 5.0, every: 1 }), ..small_destination()
 })]
 #[case::closed_connections(Scenario { failure: Failure::Close, ..small_destination() })]
+#[case::rejections_on_closed_connections(Scenario { failure: Failure::RejectAndClose, ..small_destination() })]
+#[case::responses_that_cannot_be_read(Scenario { failure: Failure::Garble, ..small_destination() })]
 fn a_fleet_keeps_within_the_budget_of_a_small_destination(#[case] scenario: Scenario) {
     check(&scenario);
 }
+
+/// Returns an outage drawn by seed: how calls fail at first and later, how many of them, for how long, and with which restarts.
+fn drawn(seed: u64) -> Scenario {
+    const FAILURES: [Failure; 8] = [
+        Failure::Error,
+        Failure::Reject,
+        Failure::RejectAndClose,
+        Failure::Close,
+        Failure::Hang,
+        Failure::Garble,
+        Failure::RejectFor(0.6),
+        Failure::RejectUntilReturn,
+    ];
+    let mut random = Random((seed + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+    for _ in 0..DISCARDED_NUMBERS {
+        random.next();
+    }
+    let mut failure = || FAILURES[(random.next() * FAILURES.len() as f64) as usize];
+    let (first, later) = (failure(), failure());
+    let length = 1.0 + 9.0 * random.next();
+    let start = 3.0;
+    let kill_at = start + random.next() * (length + 3.0);
+    Scenario {
+        failure: first,
+        later_failure: Some((start + length * random.next(), later)),
+        failing_share: if random.next() < 0.5 { 1.0 } else { 0.5 + 0.5 * random.next() },
+        outages: vec![(start, start + length)],
+        backlog: 1 + (random.next() * 2.0) as usize,
+        kill: (random.next() < 0.5).then_some(Kill { at: kill_at, every: 2 }),
+        seed,
+        ..small_destination()
+    }
+}
+
+/// Guards against issue 70: a server came back from an outage of a form that no rule had named and was sent more than its budget.
+#[rstest::rstest]
+fn a_fleet_keeps_within_the_budget_after_an_outage_drawn_at_random(#[values(1, 2, 3)] number: u64) {
+    check(&drawn(seed() * DRAWN_PER_SEED + number));
+}
