--- a/src/logic/outcomes.rs
+++ b/src/logic/outcomes.rs
@@ -170,14 +170,20 @@
         let below_limit =
             ended.report.is_none_or(|report| report.limit <= 0.0 || report.left > LIMIT_NOT_REACHED_SHARE);
         if below_limit {
-            self.record_failure(attempt.endpoint, Failure { unanswered: false, may_lose_calls: false });
-            self.suspect_route(key, SuspicionCause::Rejection, HealthReason::RouteRejected);
+            self.record_rejection_below_limit(attempt.endpoint);
         }
     }
 
-    /// Records that the endpoint's connection table is full. The forwarder then sends only as many concurrent
-    /// calls as the endpoint accepts, so that a full table is not mistaken for a rate limit or an outage, and
-    /// waits before it tries again, so that forwarders do not keep retrying for a place. The cost: if another
+    /// Records a rejection that no limit explains.
+    fn record_rejection_below_limit(&mut self, id: EndpointId) {
+        self.record_failure(id, Failure { unanswered: false, may_lose_calls: false });
+        let Some(endpoint) = self.endpoints.get(&id) else { return };
+        self.suspect_route(endpoint.route, SuspicionCause::Rejection, HealthReason::RouteRejected);
+    }
+
+    /// Records that the endpoint's connection table is full. The forwarder then sends only as many
+    /// concurrent calls as the endpoint accepts, so that a full table does not reduce the pace, and waits
+    /// before it tries again, so that forwarders do not keep retrying for a place. The cost: if another
     /// forwarder closes its connections, the estimated capacity rises only gradually.
     fn record_connection_limit(&mut self, id: EndpointId, draw: f64) {
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
@@ -191,6 +197,8 @@
             endpoint.consecutive_full_rejections += 1;
             self.log("endpoint accepts no connection, paused", Some(id));
         }
+        // An endpoint that is shut answers in the same way.
+        self.record_rejection_below_limit(id);
     }
 
     /// Records a failed connection attempt: the endpoint's connection table is full, or the endpoint does not
