--- a/src/logic/outcomes.rs
+++ b/src/logic/outcomes.rs
@@ -155,6 +155,7 @@
         let route = self.routes.entry(key).or_default();
         let rejection = super::pacing::Rejection { sent_at: attempt.sent_at, wait, demand, draw };
         let pace_reduced = route.record_rejected(&self.settings, self.now, &rejection);
+        let is_first = route.rejections <= 1;
         let pace = route.pace.unwrap_or_default();
         let blocked_for = route.blocked_until() - self.now;
         if pace_reduced {
@@ -169,7 +170,8 @@
         // return with reduced capacity.
         let below_limit =
             ended.report.is_none_or(|report| report.limit <= 0.0 || report.left > LIMIT_NOT_REACHED_SHARE);
-        if below_limit {
+        // A used-up limit explains one rejection; a further one may as well be an outage.
+        if below_limit || !is_first {
             self.record_rejection_below_limit(attempt.endpoint);
         }
     }
