--- a/src/logic/outcomes.rs
+++ b/src/logic/outcomes.rs
@@ -172,12 +172,12 @@
             ended.report.is_none_or(|report| report.limit <= 0.0 || report.left > LIMIT_NOT_REACHED_SHARE);
         // A used-up limit explains one rejection; a further one may as well be an outage.
         if below_limit || !is_first {
-            self.record_rejection_below_limit(attempt.endpoint);
+            self.record_unexplained_rejection(attempt.endpoint);
         }
     }
 
     /// Records a rejection that no limit explains.
-    fn record_rejection_below_limit(&mut self, id: EndpointId) {
+    fn record_unexplained_rejection(&mut self, id: EndpointId) {
         self.record_failure(id, Failure { unanswered: false, may_lose_calls: false });
         let Some(endpoint) = self.endpoints.get(&id) else { return };
         self.suspect_route(endpoint.route, SuspicionCause::Rejection, HealthReason::RouteRejected);
@@ -200,7 +200,7 @@
             self.log("endpoint accepts no connection, paused", Some(id));
         }
         // An endpoint that is shut answers in the same way.
-        self.record_rejection_below_limit(id);
+        self.record_unexplained_rejection(id);
     }
 
     /// Records a failed connection attempt: the endpoint's connection table is full, or the endpoint does not
