--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -8,6 +8,7 @@
         "as2-repeat" => as2_repeat(),
         "two-upgrades" => two_upgrades(),
         "class-order" => class_order(),
+        "old-discovery" => old_discovery(),
         _ => finish(2, "no such case"),
     }
 }
@@ -419,3 +420,68 @@
         n => finish(1, &format!("broken: the payout was sent {n} times, the first of which may have run")),
     }
 }
+
+// ---- A new configuration, then a new version that dies.
+
+fn old_discovery() -> ! {
+    // TROUBLE=reload and TROUBLE=version leave out one half of the trouble.
+    let part = std::env::var("TROUBLE").unwrap_or_default();
+    let (reloads, dies) = (trouble() && part != "version", trouble() && part != "reload");
+    let shut = Endpoint::start("s-7 (partner 7)", |_, _| Reply::Status(503, String::new(), Duration::from_millis(20)));
+    let first = Discovery::start("jhb-dc1", vec![Listed::ready("s-7", shut.address, 7, "big-directory", 20.0)]);
+    let mut config = head_office_daemon(&first, head_office(&HEAD_OFFICE_CLASSES));
+    let mut old = Daemon::start(&config, "version-1", Some(free_address()));
+    old.wait_ready(START_TIMEOUT);
+    let mut client = Client::new(config.listen);
+    let mut taken: Vec<(String, f64)> = Vec::new();
+    let mut number = 0;
+    let mut hand_in = |taken: &mut Vec<(String, f64)>| {
+        number += 1;
+        let (message, sent) = (payout(&format!("0000000000000e{number:02x}"), 7, 2000), now_s());
+        if client.hand_in(&message) == Some(202) {
+            taken.push((message.id, sent + 2.0));
+        }
+        sleep(Duration::from_millis(200));
+    };
+    sleep(Duration::from_millis(1200));
+    if reloads {
+        let second = first.moved();
+        old.replace_discovery(&config, second.address);
+        config.discovery = second.address;
+        old.signal(SIGHUP);
+        sleep(Duration::from_millis(1500));
+        first.close();
+    }
+    sleep(Duration::from_millis(500));
+    (0..5).for_each(|_| hand_in(&mut taken));
+    sleep(Duration::from_millis(2500));
+    let before = taken.len();
+    if dies {
+        let mut new = Daemon::start(&config, "version-2", Some(free_address()));
+        new.wait_ready(Duration::from_secs(6));
+        sleep(Duration::from_millis(500));
+        new.signal(SIGKILL);
+        new.wait_end(Duration::from_secs(1));
+        new.record_log(6);
+        old.wait_ready(Duration::from_secs(10));
+    }
+    // No notice is overdue until 1.5 s after it is ready again.
+    sleep(Duration::from_millis(1500));
+    (0..10).for_each(|_| hand_in(&mut taken));
+    let last = taken.iter().map(|(_, up)| *up).fold(0.0, f64::max);
+    sleep_until(last + LOST_AFTER_S + 3.0);
+    old.record_log(12);
+    let notices = first.notices();
+    let is_lost = |(id, up): &&(String, f64)| !notices.iter().any(|(at, name, _)| name == id && *at <= up + LOST_AFTER_S);
+    let lost_before = taken[..before].iter().filter(is_lost).count();
+    let lost = taken[before..].iter().filter(is_lost).count();
+    let never = taken[before..].iter().filter(|(id, _)| !notices.iter().any(|(_, name, _)| name == id)).count();
+    record(&format!("before the new version: {before} taken on, {lost_before} without their end; after it: {} taken on, {lost} without their end in time, {never} never", taken.len() - before));
+    if taken.len() - before < 3 || lost_before > 0 {
+        finish(2, "too few messages were taken on, or the first ones had no end");
+    }
+    match lost {
+        0 => finish(0, "held: each message that was taken on has its end"),
+        n => finish(1, &format!("broken: {n} of {} messages have no end, {never} of them not even 3 s later", taken.len() - before)),
+    }
+}
--- a/review/stand-2/rig.rs
+++ b/review/stand-2/rig.rs
@@ -19,6 +19,7 @@
 /// Longest run of a case, well under the 120 s that a case may take.
 const WATCHDOG: Duration = Duration::from_secs(108);
 
+pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 
@@ -304,15 +305,28 @@
     pub address: SocketAddr,
     zone: String,
     state: Arc<Mutex<DiscoveryState>>,
+    /// Set when this address is given up: it takes no new connection and closes the open ones.
+    closed: Arc<AtomicBool>,
 }
 
 impl Discovery {
     pub fn start(zone: &str, entries: Vec<Listed>) -> Discovery {
         let state = DiscoveryState { rev: 1, entries, down: false, period: 0, notices: Vec::new() };
-        let state = Arc::new(Mutex::new(state));
-        let (shared, az) = (state.clone(), zone.to_string());
-        let address = serve(move |socket| serve_discovery(socket, &shared, &az));
-        Discovery { address, zone: zone.to_string(), state }
+        Discovery::at_new_address(Arc::new(Mutex::new(state)), zone)
+    }
+    /// The same service at another address.
+    pub fn moved(&self) -> Discovery {
+        Discovery::at_new_address(self.state.clone(), &self.zone)
+    }
+    pub fn close(&self) {
+        record(&format!("discovery: {} is given up", self.address));
+        self.closed.store(true, Ordering::Relaxed);
+    }
+    fn at_new_address(state: Arc<Mutex<DiscoveryState>>, zone: &str) -> Discovery {
+        let closed = Arc::new(AtomicBool::new(false));
+        let (shared, az, ends) = (state.clone(), zone.to_string(), closed.clone());
+        let address = serve(move |socket| serve_discovery(socket, &shared, &az, &ends));
+        Discovery { address, zone: zone.to_string(), state, closed }
     }
     /// The whole list, as in the key `known` of a configuration.
     pub fn list(&self) -> String {
@@ -352,9 +366,12 @@
     format!(r#"{{"rev":{},"all":{},"targets":[{}]}}"#, state.rev, after.is_none(), entries.join(","))
 }
 
-fn serve_discovery(mut socket: TcpStream, state: &Arc<Mutex<DiscoveryState>>, zone: &str) {
+fn serve_discovery(
+    mut socket: TcpStream, state: &Arc<Mutex<DiscoveryState>>, zone: &str, closed: &Arc<AtomicBool>,
+) {
+    let is_closed = || closed.load(Ordering::Relaxed);
     let mut reader = BufReader::new(socket.try_clone().expect("a handle"));
-    while let Some(message) = read_message(&mut reader) {
+    while let Some(message) = read_message(&mut reader).filter(|_| !is_closed()) {
         if message.start_line.starts_with("POST /reports") {
             for line in String::from_utf8_lossy(&message.body).lines() {
                 let field = |name: &str| {
@@ -399,7 +416,7 @@
         loop {
             let object = {
                 let state = state.lock().unwrap();
-                if state.period != period {
+                if state.period != period || is_closed() {
                     let _ = socket.shutdown(Shutdown::Both);
                     return;
                 }
@@ -583,6 +600,16 @@
         finish(2, &format!("{} did not become ready", self.label));
     }
 
+    /// Replaces the configuration file, whose `discovery` names another address from now on.
+    pub fn replace_discovery(&self, config: &DaemonConfig, new: SocketAddr) {
+        let file = folder().join(&config.name).join("config.json");
+        let text = fs::read_to_string(&file).expect("the configuration");
+        let text = text.replace(&format!(r#""discovery":"{}""#, config.discovery), &format!(r#""discovery":"{new}""#));
+        let replacement = file.with_extension("new");
+        fs::write(&replacement, text).and_then(|()| fs::rename(&replacement, &file)).expect("the configuration");
+        record(&format!("platform: discovery is {new} in the configuration"));
+    }
+
     pub fn signal(&self, signal: i32) {
         record(&format!("platform: signal {signal} to {}", self.label));
         unsafe { kill(self.child.id() as i32, signal) };
