--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -9,6 +9,7 @@
         "two-upgrades" => two_upgrades(),
         "class-order" => class_order(),
         "old-discovery" => old_discovery(),
+        "spoilt-refusal" => spoilt_refusal(),
         _ => finish(2, "no such case"),
     }
 }
@@ -487,3 +488,30 @@
         n => finish(1, &format!("broken: {n} of {} messages have no end, {never} of them not even 3 s later", taken.len() - before)),
     }
 }
+
+// ---- A spoilt answer whose first line is a refusal.
+
+fn spoilt_refusal() -> ! {
+    let spoilt = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 3000000000\r\n\r\nnoise";
+    let whole = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+    let partner = Endpoint::start("s-7 (partner 7)", move |_, number| match number {
+        0 if trouble() => Reply::Spoilt(spoilt.to_string()),
+        0 => Reply::Spoilt(whole.to_string()),
+        _ => served(),
+    });
+    let discovery = Discovery::start("jhb-dc1", vec![Listed::ready("s-7", partner.address, 7, "big-directory", 20.0)]);
+    let config = head_office_daemon(&discovery, head_office(&HEAD_OFFICE_CLASSES));
+    let mut daemon = Daemon::start(&config, "n1", None);
+    daemon.wait_ready(START_TIMEOUT);
+    let mut client = Client::new(config.listen);
+    if client.hand_in(&payout("00000000000000f1", 7, 10_000)) != Some(202) {
+        finish(2, "the payout was not taken on");
+    }
+    sleep(Duration::from_secs(11));
+    daemon.record_log(12);
+    match partner.calls().len() {
+        0 => finish(2, "the payout did not reach the partner"),
+        1 => finish(0, "held: the payout was sent once"),
+        n => finish(1, &format!("broken: the payout was sent {n} times, the first of which has run")),
+    }
+}
--- a/review/stand-2/rig.rs
+++ b/review/stand-2/rig.rs
@@ -178,6 +178,8 @@
 pub enum Reply {
     /// Answers with this status and these header lines after a time.
     Status(u16, String, Duration),
+    /// Writes this text, in which the lengths do not fit, and keeps the connection until the caller ends it.
+    Spoilt(String),
     /// Answers nothing and keeps the connection until the caller ends it.
     Hang,
 }
@@ -242,6 +244,12 @@
                         seen[number].answered_s = now_s();
                         record(&format!("{name}: answered {id} with {status} {}", headers.trim()));
                     }
+                    Reply::Spoilt(text) => {
+                        let _ = socket.write_all(text.as_bytes());
+                        record(&format!("{name}: answered {id} with a spoilt answer: {text:?}"));
+                        let _ = reader.read_to_end(&mut Vec::new());
+                        return;
+                    }
                     Reply::Hang => {
                         let _ = reader.read_to_end(&mut Vec::new());
                         return;
