--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -10,6 +10,7 @@
         "class-order" => class_order(),
         "old-discovery" => old_discovery(),
         "spoilt-refusal" => spoilt_refusal(),
+        "as2-gone" => as2_gone(),
         _ => finish(2, "no such case"),
     }
 }
@@ -489,14 +490,26 @@
     }
 }
 
-// ---- A spoilt answer whose first line is a refusal.
+// ---- Spoilt answers.
+
+/// Forms of spoilt answers (LATER, "Spoilt answers"): noise, a head that never ends, lengths that do not fit, 3 GB that keep coming.
+const SPOILT: [(&str, bool); 5] = [
+    ("\u{1}\u{2} noise \r\n\r\n", false),
+    ("HTTP/1.1 500 Internal Server Error\r\nX-A: b", false),
+    ("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 40\r\n\r\nshort", false),
+    ("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 40\r\n\r\nshort", false),
+    ("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 3000000000\r\n\r\n", true),
+];
+/// One of so many answers is spoilt.
+const SPOILT_SHARE: usize = 4;
+const PAYOUTS: usize = 40;
 
 fn spoilt_refusal() -> ! {
-    let spoilt = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 3000000000\r\n\r\nnoise";
-    let whole = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
-    let partner = Endpoint::start("s-7 (partner 7)", move |_, number| match number {
-        0 if trouble() => Reply::Spoilt(spoilt.to_string()),
-        0 => Reply::Spoilt(whole.to_string()),
+    let partner = Endpoint::start("s-7 (partner 7)", |_, number| match number % SPOILT_SHARE {
+        3 if trouble() => {
+            let (text, keeps_coming) = SPOILT[number / SPOILT_SHARE % SPOILT.len()];
+            Reply::Spoilt(text.to_string(), keeps_coming)
+        }
         _ => served(),
     });
     let discovery = Discovery::start("jhb-dc1", vec![Listed::ready("s-7", partner.address, 7, "big-directory", 20.0)]);
@@ -504,14 +517,67 @@
     let mut daemon = Daemon::start(&config, "n1", None);
     daemon.wait_ready(START_TIMEOUT);
     let mut client = Client::new(config.listen);
-    if client.hand_in(&payout("00000000000000f1", 7, 10_000)) != Some(202) {
+    let mut taken = Vec::new();
+    for number in 0..PAYOUTS {
+        let message = payout(&format!("0000000000000f{number:02x}"), 7, 20_000);
+        if client.hand_in(&message) == Some(202) {
+            taken.push(message.id);
+        }
+        sleep(Duration::from_millis(250));
+    }
+    sleep(Duration::from_secs(21));
+    daemon.record_log(12);
+    let calls = partner.calls();
+    let twice: Vec<&String> = taken.iter().filter(|id| calls.iter().filter(|c| c.id == **id).count() > 1).collect();
+    for id in &twice {
+        let times: Vec<String> = calls.iter().filter(|c| c.id == **id).map(|c| format!("{:.3}", c.at_s)).collect();
+        record(&format!("{id} was sent at {}", times.join(", ")));
+    }
+    if taken.len() < PAYOUTS / 2 || calls.is_empty() {
+        finish(2, "too few payouts were taken on");
+    }
+    match twice.len() {
+        0 => finish(0, &format!("held: each of {} payouts was sent once at most", taken.len())),
+        n => finish(1, &format!("broken: {n} of {} payouts were sent again after they had run", taken.len())),
+    }
+}
+
+// ---- An AS2 partner that fails with 410.
+
+fn as2_gone() -> ! {
+    let keys = repository(&std::env::var("KEYS").unwrap_or_default());
+    let receipt = fs::read_to_string(keys.join("receipt.body")).expect("the signed receipt");
+    let signed = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: multipart/signed; protocol=\"application/pkcs7-signature\"; micalg=sha-256; boundary=\"s\"\r\nContent-Length: {}\r\n\r\n{receipt}",
+        receipt.len()
+    );
+    let gone = "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n".to_string();
+    let bank = Endpoint::start("bank", move |_, _| Reply::Text(if trouble() { gone.clone() } else { signed.clone() }));
+    let other = Endpoint::start("s-7 (partner 7)", |_, _| served());
+    let discovery = Discovery::start("jhb-dc1", vec![Listed::ready("s-7", other.address, 7, "big-directory", 20.0)]);
+    let front = free_address();
+    let file = folder().join("as2.json");
+    let key = |name: &str| keys.join(name).display().to_string();
+    let text = format!(
+        r#"{{"enabled":true,"listen":"{front}","name":"head-office","key":"{}","certificate":"{}","receipt_url":"http://{front}/receipts","partners":[{{"name":"bank","certificate":"{}","url":"http://{}/as2","dest":8,"rate":10.0,"receipt":"sync"}}]}}"#,
+        key("us.key"), key("us.pem"), key("bank.pem"), bank.address
+    );
+    fs::write(&file, text).expect("the AS2 settings");
+    let mut config = head_office_daemon(&discovery, head_office(&HEAD_OFFICE_CLASSES));
+    config.env.push(("MICALADDER_AS2".into(), file.display().to_string()));
+    let mut daemon = Daemon::start(&config, "n1", None);
+    daemon.wait_ready(START_TIMEOUT);
+    let mut client = Client::new(config.listen);
+    if client.hand_in(&payout("00000000000000f2", 8, 5_000)) != Some(202) {
         finish(2, "the payout was not taken on");
     }
-    sleep(Duration::from_secs(11));
+    sleep(Duration::from_secs(8));
     daemon.record_log(12);
-    match partner.calls().len() {
-        0 => finish(2, "the payout did not reach the partner"),
-        1 => finish(0, "held: the payout was sent once"),
-        n => finish(1, &format!("broken: the payout was sent {n} times, the first of which has run")),
+    let ended = discovery.notices().iter().any(|(_, id, _)| id == "00000000000000f2");
+    match (bank.calls().len(), trouble(), ended) {
+        (0, _, _) => finish(2, "the payout did not reach the bank"),
+        (n, false, false) => finish(0, &format!("held: {n} calls, the bank's receipt came")),
+        (n, _, true) => finish(0, &format!("held: {n} calls, and a notice")),
+        (n, true, false) => finish(1, &format!("broken: {n} calls, no receipt and no notice 3 s after the time of the payout")),
     }
 }
--- a/review/stand-2/rig.rs
+++ b/review/stand-2/rig.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -152,14 +152,20 @@
     Some(message)
 }
 
+/// A loopback address of this process alone, so that no other process takes a port between its choice and its use.
+fn own_address() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 + high % 128, middle, low)
+}
+
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listener = TcpListener::bind((own_address(), 0)).expect("a free port");
     listener.local_addr().expect("its address")
 }
 
 /// Accepts connections on a loopback port and serves each in a thread.
 fn serve(handle: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listener = TcpListener::bind((own_address(), 0)).expect("a free port");
     let address = listener.local_addr().expect("its address");
     let handle = Arc::new(handle);
     thread::spawn(move || {
@@ -178,8 +184,10 @@
 pub enum Reply {
     /// Answers with this status and these header lines after a time.
     Status(u16, String, Duration),
-    /// Writes this text, in which the lengths do not fit, and keeps the connection until the caller ends it.
-    Spoilt(String),
+    /// Writes this text, a spoilt answer, and keeps the connection until the caller ends it. `true`: more keeps coming.
+    Spoilt(String, bool),
+    /// Writes this text, a whole answer.
+    Text(String),
     /// Answers nothing and keeps the connection until the caller ends it.
     Hang,
 }
@@ -244,12 +252,25 @@
                         seen[number].answered_s = now_s();
                         record(&format!("{name}: answered {id} with {status} {}", headers.trim()));
                     }
-                    Reply::Spoilt(text) => {
+                    Reply::Spoilt(text, keeps_coming) => {
                         let _ = socket.write_all(text.as_bytes());
-                        record(&format!("{name}: answered {id} with a spoilt answer: {text:?}"));
+                        record(&format!("{name}: has run {id}; its answer is spoilt: {text:?}"));
+                        // Bounded: 200 KB a second for ten seconds at most.
+                        for _ in 0..if keeps_coming { 200 } else { 0 } {
+                            if socket.write_all(&[b'x'; 10_000]).is_err() {
+                                return;
+                            }
+                            sleep(Duration::from_millis(50));
+                        }
                         let _ = reader.read_to_end(&mut Vec::new());
                         return;
                     }
+                    Reply::Text(text) => {
+                        if socket.write_all(text.as_bytes()).is_err() {
+                            return;
+                        }
+                        record(&format!("{name}: answered with {}", text.lines().next().unwrap_or_default()));
+                    }
                     Reply::Hang => {
                         let _ = reader.read_to_end(&mut Vec::new());
                         return;
@@ -605,6 +626,9 @@
             sleep(Duration::from_millis(20));
         }
         self.record_log(40);
+        if let Ok(Some(status)) = self.child.try_wait() {
+            record(&format!("{} has ended ({status})", self.label));
+        }
         finish(2, &format!("{} did not become ready", self.label));
     }
 
