--- a/src/upstream/as2.rs
+++ b/src/upstream/as2.rs
@@ -1,7 +1,8 @@
 //! The AS2 encoding of attempts (RFC 4130) as signed messages to a partner, and the interpretation of the partner's MDNs.
 use super::connection::UpstreamRequest;
-use super::platform::{self, CallKind};
+use super::platform;
 use super::pool::Pool;
+use super::response::{self, CallKind};
 use crate::as2::mdn::{self, DispositionOutcome};
 use crate::as2::smime::{self, Entity};
 use crate::as2::{As2Settings, Partner};
@@ -50,18 +51,23 @@
     let asynchronous_mdn = exchange.await_mdn(&id);
     let to = request.uri().clone();
     let make_request = || exchange.may_send(attempt.into()).then_some(request);
-    let listener = platform::retry_after_listener(attempt, CallKind::Single, exchange);
+    let listener = response::retry_after_listener(attempt, CallKind::As2, exchange);
     let mut call = match pool.call(to, make_request, listener).await {
         Ok(call) => call,
         Err(error) => return platform::result_of_failed_call(&partner.url, &error),
     };
+    let monitor = call.monitor.clone();
     let (response, connection) = match call.head().await {
         Ok(response_and_connection) => response_and_connection,
         Err(error) => return platform::result_of_failed_call(&partner.url, &error),
     };
     let (head, body) = response.into_parts();
     if !head.status.is_success() {
-        return platform::result_of_head(head.status, &head.headers);
+        if let Err(error) = response::discard_body(body).await {
+            let status = Some(head.status);
+            return response::result_of_malformed_response(&partner.url, status, &error.to_string());
+        }
+        return response::result_of_complete_response(CallKind::As2, &head, &monitor);
     }
     let mdn = if partner.is_mdn_asynchronous() {
         asynchronous_mdn.await.unwrap_or_default()
--- a/src/upstream/batch.rs
+++ b/src/upstream/batch.rs
@@ -2,10 +2,11 @@
 //! response contains the result of each message. Each message has a separate deadline and can be cancelled separately. This
 //! module decides what that means for the rest of the batch.
 use super::connection::UpstreamRequest;
-use super::platform::{self, CallKind};
+use super::monitored_stream::CallMonitor;
+use super::platform;
 use super::pool::Pool;
+use super::response::{self, CallKind};
 use super::{attempt_timeout, report};
-use crate::body;
 use crate::core::Attempt;
 use crate::exchange::{AttemptId, AttemptResult, Exchange};
 use crate::Outcome;
@@ -16,16 +17,9 @@
 use hyper::{Request, Response, StatusCode, Uri};
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{sleep_until, timeout, Instant};
 
-/// The longest response body in bytes. A response has one short line per message.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024;
-/// How long to wait for the body of a response after its head. Endpoints write the body at once. Without this timeout, a call
-/// with an at-most-once message would occupy its slot until the deadline of that message.
-const BODY_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Makes a call with several messages and reports the result of each. Dropping this future cancels the call.
 pub(super) async fn run(
     pool: Arc<Pool>, attempts: Vec<Attempt>, exchange: Exchange,
@@ -159,7 +153,7 @@
         }
         encode(&to, &sendable)
     };
-    let listener = platform::retry_after_listener(first, CallKind::Batch, exchange);
+    let listener = response::retry_after_listener(first, CallKind::Batch, exchange);
     let mut call = match pool.call(to.clone(), make_request, listener).await {
         Ok(call) => call,
         Err(error) => {
@@ -176,38 +170,37 @@
             };
         }
     };
-    let results = read_response(response, address, by_name).await;
+    let results = read_response(response, attempts, &monitor, address, by_name).await;
     let _ = timeout(platform::COMPLETION_GRACE_PERIOD, connection.release_when_ready()).await;
     results
 }
 
-/// Reads the results from a response. An incomplete response is discarded as a whole.
+/// Reads the results from a response.
 async fn read_response(
-    response: Response<Incoming>, address: &str, mut by_name: HashMap<String, AttemptResult>,
+    response: Response<Incoming>, attempts: &[Attempt], monitor: &CallMonitor, address: &str,
+    mut by_name: HashMap<String, AttemptResult>,
 ) -> BatchResults {
     let (head, body) = response.into_parts();
-    let body = match timeout(BODY_TIMEOUT, body::read(body, MAX_RESPONSE_BYTES, |_| {})).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(error)) => Err(error.to_string()),
-        Err(_) => Err("its body did not arrive in time".to_string()),
-    };
-    let others = match (head.status, body) {
-        (StatusCode::OK, Ok(text)) => {
-            let others = platform::unreadable_response(address, "a message of the batch has no result");
-            by_name.extend(parse_results(&text, &head.headers));
-            others
-        }
-        (StatusCode::OK, Err(reason)) => platform::unreadable_response(address, &reason),
-        (StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE, _) => {
-            log::error!(
-                "{address}: batch call rejected with status {}; none of its messages has run",
-                head.status
-            );
-            Outcome::Skipped.into()
+    let body = match response::read_body(body).await {
+        Ok(body) => body,
+        Err(error) => {
+            let others =
+                response::result_of_malformed_response(address, Some(head.status), &error.to_string());
+            return BatchResults { by_name, others };
         }
-        (status, _) => platform::result_of_head(status, &head.headers),
     };
-    BatchResults { by_name, others }
+    if head.status == StatusCode::OK {
+        by_name.extend(parse_results(&body, &head.headers));
+        if attempts.iter().any(|attempt| !by_name.contains_key(&attempt.context.name)) {
+            log::info!(address; "unreadable response: a message of the batch has no result and may have run");
+        }
+        return BatchResults { by_name, others: Outcome::UnreadableAnswer.into() };
+    }
+    if matches!(head.status, StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE) {
+        let status = head.status;
+        log::error!("{address}: batch call rejected with status {status}; none of its messages has run");
+    }
+    BatchResults { by_name, others: response::result_of_complete_response(CallKind::Batch, &head, monitor) }
 }
 
 /// Encodes a request with these messages. Returns `None` if there are none.
@@ -233,13 +226,13 @@
 /// Parses lines of the form `NAME RESULT` and returns the result of each message by name. Ignores unknown results.
 fn parse_results(text: &[u8], headers: &HeaderMap) -> HashMap<String, AttemptResult> {
     let text = String::from_utf8_lossy(text);
-    let report = platform::result_of_head(StatusCode::OK, headers).report;
+    let report = response::load_report(headers);
     let parse_line = |line: &str| {
         let (name, result) = line.trim().split_once(' ')?;
         let (outcome, is_message_over) = match result.trim() {
             "done" => (Outcome::Ok, false),
             "failed" => (Outcome::Error, false),
-            "busy" => (Outcome::Rejected(platform::retry_after(headers)), false),
+            "busy" => (Outcome::Rejected(response::retry_after(headers)), false),
             "void" => (Outcome::Skipped, true),
             "used_up" => (Outcome::Skipped, false),
             _ => return None,
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Sends calls to endpoints over pooled connections, with one pool per endpoint.
 //!
-//! - `platform`, `batch`, `as2`: encode attempts and interpret the responses
+//! - `platform`, `batch`, `as2`: encode attempts and carry out their calls
+//! - `response`: what a response proves, and from which moment on
 //! - `pool`, `connection`: the connections to one endpoint
 //! - `monitored_stream`: monitors the bytes on a connection below hyper
 #![warn(missing_docs)]
@@ -10,6 +11,7 @@
 mod monitored_stream;
 mod platform;
 mod pool;
+mod response;
 #[cfg(test)]
 mod tests;
 
--- a/tests/as2.rs
+++ b/tests/as2.rs
@@ -129,6 +129,8 @@
     CloseConnection,
     /// Responds with 200; the test sends the MDN separately.
     AsynchronousMdn,
+    /// Processes the message, and writes this text after the HTTP version. The connection stays open.
+    WriteAndHold(&'static str),
 }
 
 const PROCESSED: BankBehavior =
@@ -155,6 +157,7 @@
             BankBehavior::NoResponse => Reply::RespondAndHold(String::new()),
             BankBehavior::CloseConnection => Reply::Close,
             BankBehavior::AsynchronousMdn => respond("200 OK", "", ""),
+            BankBehavior::WriteAndHold(text) => Reply::RespondAndHold(format!("HTTP/1.1 {text}")),
             BankBehavior::SynchronousMdn { disposition, signer, mic } => {
                 let mic = mic.map_or_else(|| bank_keys.mic(&part), str::to_string);
                 let (content_type, body) = bank_keys.mdn(message_id, disposition, &mic, signer);
@@ -212,6 +215,16 @@
 #[case::forged_signature(BankBehavior::SynchronousMdn { disposition: "processed", signer: "stranger", mic: None }, false, Some("not good"))]
 #[case::wrong_mic(BankBehavior::SynchronousMdn { disposition: "processed", signer: "bank", mic: Some("AAAA") }, false, Some("digest"))]
 #[case::connection_closed(BankBehavior::CloseConnection, false, Some("cut"))]
+#[case::incomplete_429(
+    BankBehavior::WriteAndHold("429 Later\r\ncontent-length: 40\r\n\r\nshort"),
+    false,
+    Some("short")
+)]
+#[case::incomplete_503(
+    BankBehavior::WriteAndHold("503 Full\r\ncontent-length: 40\r\n\r\nshort"),
+    false,
+    Some("short")
+)]
 fn a_payout_completes_exactly_once(
     #[case] behavior: BankBehavior, #[case] encrypt: bool, #[case] fault: Option<&str>,
 ) {
--- a/tests/batch.rs
+++ b/tests/batch.rs
@@ -157,6 +157,11 @@
     fixture.endpoint.wait_until("both messages again", both_again);
 }
 
+/// Returns a response whose body is shorter than it says, on a connection that stays open.
+fn incomplete(status: &str) -> Reply {
+    Reply::RespondAndHold(format!("HTTP/1.1 {status}\r\ncontent-length: 40\r\n\r\nshort"))
+}
+
 #[rstest]
 #[case::connection_closed(|_: &[BatchedMessage]| Reply::Close)]
 #[case::incomplete_body(|m: &[BatchedMessage]| {
@@ -164,6 +169,10 @@
 })]
 #[case::missing_results(|_: &[BatchedMessage]| respond("200 OK", "", "somebody done\r\n"))]
 #[case::error_status(|_: &[BatchedMessage]| respond("500 Error", "", ""))]
+#[case::incomplete_503(|_: &[BatchedMessage]| incomplete("503 Full"))]
+#[case::incomplete_429(|_: &[BatchedMessage]| incomplete("429 Later\r\nretry-after: 0.2"))]
+#[case::incomplete_400(|_: &[BatchedMessage]| incomplete("400 Bad"))]
+#[case::incomplete_413(|_: &[BatchedMessage]| incomplete("413 Too Many"))]
 fn never_resends_a_payout_of_a_batch_that_may_have_run(#[case] reply: fn(&[BatchedMessage]) -> Reply) {
     let fixture = fixture(move |messages, n| match n {
         0 => reply(messages),
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -67,6 +67,8 @@
     Respond(String),
     /// Writes this text and leaves the connection open without another response.
     RespondAndHold(String),
+    /// Writes this text and closes the connection.
+    RespondAndClose(String),
     /// Closes the connection without a response.
     Close,
 }
@@ -121,6 +123,11 @@
                     let _ = socket.write_all(text.as_bytes());
                     let _ = reader.read_to_end(&mut Vec::new());
                 }
+                Reply::RespondAndClose(text) => {
+                    let _ = socket.write_all(text.as_bytes());
+                    let _ = socket.shutdown(Shutdown::Both);
+                    break;
+                }
                 Reply::Close => {
                     let _ = socket.shutdown(Shutdown::Both);
                     break;
