--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -6,8 +6,8 @@
 use crate::interface::{Action, Event, MessageId, Nanos, Settings};
 use crate::journal::{self, Record};
 use crate::metrics::MessageResult;
-use crate::plugins::Verdict;
-use crate::request::{RequestContext, RequestDetails};
+use crate::plugins::ScriptRequest;
+use crate::request::RequestContext;
 use std::collections::BTreeMap;
 
 /// Minimum interval between two warnings that the journal has no capacity left, in seconds. Without it each rejected
@@ -34,9 +34,7 @@
 
 impl Core {
     /// Answers a request at once, or adds it as a message for the decision module and returns its id.
-    pub(super) fn handle_submitted(
-        &mut self, id: MessageId, mut context: RequestContext,
-    ) -> Option<MessageId> {
+    pub(super) fn handle_submitted(&mut self, id: MessageId, context: RequestContext) -> Option<MessageId> {
         let class = context.class;
         if let Some(answer) = self.answer_from_cache(&context) {
             self.answer(id, id, class, answer);
@@ -50,12 +48,6 @@
             self.answer(id, id, class, answer);
             return None;
         }
-        let Verdict::Pass(tags) = self.plugins.on_request(&context, self.details(&context)) else {
-            log::info!(message = context.name, dest = context.dest; "request rejected by a plug-in script");
-            self.answer(id, id, class, Answer::Reject(self.rejection_retry_after()));
-            return None;
-        };
-        context.tags = tags;
         self.pending.insert(id, context);
         if !self.queue_behind_predecessor(id) {
             self.events.extend(self.pending.get(id).map(|m| Event::Message(m.message(id))));
@@ -63,6 +55,30 @@
         Some(id)
     }
 
+    /// Returns the request that plug-in scripts must inspect before it is submitted. Returns `None` if the request is a repeat, and if
+    /// it is answered without a decision.
+    pub fn request_to_inspect(&mut self, now: Nanos, context: &RequestContext) -> Option<ScriptRequest> {
+        self.now = now;
+        let is_inspected = self.is_first_request(context) && self.immediate_answer(context).is_none();
+        is_inspected.then(|| self.script_request(context))
+    }
+
+    /// Returns the answer to a request that the plug-in scripts reject. Returns `None` if another request for the same message has
+    /// been accepted while the scripts inspected this one: it is a repeat then, and must be submitted.
+    pub fn reject_inspected(&mut self, context: &RequestContext) -> Option<Answer> {
+        if !self.is_first_request(context) {
+            return None;
+        }
+        log::info!(message = context.name, dest = context.dest; "request rejected by a plug-in script");
+        self.metrics.record_result(context.class, MessageResult::Throttled);
+        Some(Answer::Reject(self.rejection_retry_after()))
+    }
+
+    /// Returns whether this request is for a message that the core neither holds nor remembers.
+    fn is_first_request(&self, context: &RequestContext) -> bool {
+        self.answer_from_cache(context).is_none() && self.message_of_same_name(context).is_none()
+    }
+
     /// Returns the answer to a request that needs no decision; `None` if plug-in scripts and the decision module must see it.
     fn immediate_answer(&mut self, context: &RequestContext) -> Option<Answer> {
         if self.endpoints.has_no_destinations() {
@@ -111,12 +127,17 @@
         rejection_retry_after(&self.settings)
     }
 
-    /// Returns the details of a request that plug-in scripts receive in addition to its context.
-    pub(super) fn details(&self, context: &RequestContext) -> RequestDetails<'_> {
-        RequestDetails {
-            class: self.deployment.classes.get(context.class).map_or("", String::as_str),
-            tenant: self.deployment.tenants.get(context.tenant).map_or("", String::as_str),
+    /// Returns a request as plug-in scripts see it.
+    pub(super) fn script_request(&self, context: &RequestContext) -> ScriptRequest {
+        let name_of = |names: &[String], index: usize| names.get(index).cloned().unwrap_or_default();
+        ScriptRequest {
+            name: context.name.clone(),
+            class: name_of(&self.deployment.classes, context.class),
+            tenant: name_of(&self.deployment.tenants, context.tenant),
+            dest: context.dest,
+            size: context.body.len(),
             time_left: context.deadline - self.now,
+            tags: context.tags.clone(),
         }
     }
 
--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -6,7 +6,6 @@
 use super::Core;
 use crate::interface::{AttemptEnded, Effect, EndpointId, Event, LoadReport, MessageId, Nanos, Outcome};
 use crate::journal::{Completion, Record};
-use crate::plugins;
 use crate::request::RequestContext;
 
 /// Maximum size of the names, keys and bodies in a batch call, in bytes. With its head the call stays below 64 KiB.
@@ -66,7 +65,9 @@
         self.log_call_without_delivery(&context, host, outcome, took);
         let may_have_run = !outcome.never_ran();
         self.pending.end_attempt(id, may_have_run);
-        self.plugins.on_outcome(&context, self.details(&context), &plugins::outcome_text(outcome));
+        if self.plugins.observes_outcomes() {
+            self.plugins.on_outcome(self.script_request(&context), outcome);
+        }
         self.events.push(Event::AttemptEnded(AttemptEnded { id, attempt, outcome, over, took, report }));
         if outcome == Outcome::Ok {
             self.attempt_delivered(id, &context);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -227,6 +227,11 @@
         self.settings.tick
     }
 
+    /// Returns the hooks of the plug-in scripts.
+    pub fn plugins(&self) -> &Plugins {
+        &self.plugins
+    }
+
     /// Returns the latest time of the next call to [`step`](Core::step); `None` if nothing is scheduled.
     pub fn next_wake(&self) -> Option<Nanos> {
         let decision = self.wake_at.filter(|_| !self.draining);
--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -24,6 +24,7 @@
 };
 use crate::journal::Record;
 use crate::metrics::Metrics;
+use crate::plugins::{Plugins, Verdict};
 use crate::request::RequestContext;
 use crate::takeover::{FolderLock, LateOutcomeWriter};
 use crate::{DestinationId, EndpointId, MessageId, Nanos};
@@ -50,6 +51,7 @@
 pub struct Exchange {
     commands: UnboundedSender<Command>,
     core: SharedCore,
+    plugins: Plugins,
     client_connections: watch::Receiver<ClientConnections>,
 }
 
@@ -67,19 +69,40 @@
     /// Starts the exchange task, which drives `core`.
     pub fn new(core: Core) -> (Exchange, Outputs) {
         let (commands, received) = unbounded_channel();
+        let plugins = core.plugins().clone();
         let core = SharedCore::new(core);
         let (task, client_connections, outputs) = ExchangeTask::new(core.clone());
         tokio::spawn(task.run(received));
-        (Exchange { commands, core, client_connections }, outputs)
+        (Exchange { commands, core, plugins, client_connections }, outputs)
     }
 
     /// Submits a request and returns its answer. Dropping the future before the answer arrives withdraws the request. Rejects the
     /// request if the exchange task has ended.
-    pub async fn submit(&self, context: RequestContext) -> Answer {
+    ///
+    /// Plug-in scripts inspect the request first. Only the request waits for them, neither the exchange task nor the core.
+    pub async fn submit(&self, mut context: RequestContext) -> Answer {
+        if let Some(rejection) = self.inspect(&mut context).await {
+            return rejection;
+        }
         let result = self.request(|reply| Command::Submit { context, reply }).await;
         result.unwrap_or(Answer::Reject(None))
     }
 
+    /// Lets the plug-in scripts inspect a request and sets their tags. Returns the answer if they reject the request.
+    async fn inspect(&self, context: &mut RequestContext) -> Option<Answer> {
+        if !self.plugins.inspects_requests() {
+            return None;
+        }
+        let request = self.core.lock().request_to_inspect(clock::now(), context)?;
+        match self.plugins.on_request(request).await {
+            Verdict::Pass(tags) => {
+                context.tags = tags;
+                None
+            }
+            Verdict::Reject => self.core.lock().reject_inspected(context),
+        }
+    }
+
     /// Applies an update of the endpoint list, which then has this revision.
     pub fn update_endpoints(&self, revision: ListRevision, update: EndpointUpdate) {
         let (complete, endpoints) = match update {
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,5 +1,4 @@
-//! Types of a request that all layers share, from the client to the endpoint, and the details that plug-ins receive with
-//! it.
+//! The request that all layers share, from the client to the endpoint.
 #![warn(missing_docs)]
 use crate::interface::Nanos;
 use bytes::Bytes;
@@ -41,14 +40,3 @@
             && self.body == other.body
     }
 }
-
-/// Details of a request that plug-ins receive with its context.
-#[derive(Clone, Copy)]
-pub struct RequestDetails<'a> {
-    /// Name of the class; empty if the settings do not contain the class.
-    pub class: &'a str,
-    /// Name of the tenant; empty if the settings do not contain the tenant.
-    pub tenant: &'a str,
-    /// Time left until the deadline.
-    pub time_left: Nanos,
-}
