--- a/src/upstream/response.rs
+++ b/src/upstream/response.rs
@@ -103,18 +103,52 @@
     result
 }
 
-/// Returns the result that the status and the headers of a complete response indicate.
+/// Returns the result that the status and the headers of a complete response indicate. Only the statuses that the protocol of the
+/// call defines as "never ran" prove that.
 fn result_of_status(kind: CallKind, status: StatusCode, headers: &HeaderMap) -> AttemptResult {
-    let outcome = match status.as_u16() {
-        200 if kind == CallKind::Single => Outcome::Ok,
-        429 => Outcome::Rejected(retry_after(headers)),
-        503 if headers.contains_key(NO_SLOT_HEADER) => Outcome::Skipped,
-        503 => Outcome::Rejected(retry_after(headers)),
-        504 | 410 => Outcome::Skipped,
-        400 | 413 if kind == CallKind::Batch => Outcome::Skipped,
-        _ => Outcome::Error,
+    let outcome = match kind {
+        CallKind::Single => outcome_of_single(status, headers),
+        CallKind::Batch => outcome_of_batch(status, headers),
+        CallKind::As2 => outcome_of_as2(status, headers),
     };
-    AttemptResult { outcome, is_message_over: status == StatusCode::GONE, report: load_report(headers) }
+    let is_message_over = kind == CallKind::Single && status == StatusCode::GONE;
+    AttemptResult { outcome, is_message_over, report: load_report(headers) }
+}
+
+fn outcome_of_single(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    match status {
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::TOO_MANY_REQUESTS => Outcome::Rejected(retry_after(headers)),
+        StatusCode::SERVICE_UNAVAILABLE => outcome_of_unavailable(headers),
+        StatusCode::GATEWAY_TIMEOUT | StatusCode::GONE => Outcome::Skipped,
+        _ => Outcome::Error,
+    }
+}
+
+/// A batch that is not rejected as a whole is answered with 200 and a result for each message.
+fn outcome_of_batch(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS => Outcome::Rejected(retry_after(headers)),
+        StatusCode::SERVICE_UNAVAILABLE => outcome_of_unavailable(headers),
+        StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE => Outcome::Skipped,
+        _ => Outcome::Error,
+    }
+}
+
+/// A gateway in front of an AS2 partner may answer 502, 503 or 504 for a message that the partner has processed, and only a signed
+/// MDN proves what became of it. 429 states that a rate limit was applied instead (RFC 6585, section 4).
+fn outcome_of_as2(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS => Outcome::Rejected(retry_after(headers)),
+        _ => Outcome::Error,
+    }
+}
+
+fn outcome_of_unavailable(headers: &HeaderMap) -> Outcome {
+    if headers.contains_key(NO_SLOT_HEADER) {
+        return Outcome::Skipped;
+    }
+    Outcome::Rejected(retry_after(headers))
 }
 
 /// Returns the result of a call whose response is malformed or incomplete. The call may have run.
--- a/tests/as2.rs
+++ b/tests/as2.rs
@@ -129,6 +129,8 @@
     CloseConnection,
     /// Responds with 200; the test sends the MDN separately.
     AsynchronousMdn,
+    /// Processes the message, and responds with this status and without an MDN, as a gateway does.
+    Respond(&'static str),
     /// Processes the message, and writes this text after the HTTP version. The connection stays open.
     WriteAndHold(&'static str),
 }
@@ -157,6 +159,7 @@
             BankBehavior::NoResponse => Reply::RespondAndHold(String::new()),
             BankBehavior::CloseConnection => Reply::Close,
             BankBehavior::AsynchronousMdn => respond("200 OK", "", ""),
+            BankBehavior::Respond(status) => respond(status, "", ""),
             BankBehavior::WriteAndHold(text) => Reply::RespondAndHold(format!("HTTP/1.1 {text}")),
             BankBehavior::SynchronousMdn { disposition, signer, mic } => {
                 let mic = mic.map_or_else(|| bank_keys.mic(&part), str::to_string);
@@ -225,6 +228,10 @@
     false,
     Some("short")
 )]
+#[case::gateway_timeout(BankBehavior::Respond("504 Gateway Timeout"), false, Some("504"))]
+#[case::unavailable(BankBehavior::Respond("503 Full"), false, Some("503"))]
+#[case::bad_gateway(BankBehavior::Respond("502 Bad Gateway"), false, Some("502"))]
+#[case::gone(BankBehavior::Respond("410 Gone"), false, Some("410"))]
 fn a_payout_completes_exactly_once(
     #[case] behavior: BankBehavior, #[case] encrypt: bool, #[case] fault: Option<&str>,
 ) {
--- a/tests/batch.rs
+++ b/tests/batch.rs
@@ -169,6 +169,8 @@
 })]
 #[case::missing_results(|_: &[BatchedMessage]| respond("200 OK", "", "somebody done\r\n"))]
 #[case::error_status(|_: &[BatchedMessage]| respond("500 Error", "", ""))]
+#[case::gateway_timeout(|_: &[BatchedMessage]| respond("504 Gateway Timeout", "", ""))]
+#[case::gone(|_: &[BatchedMessage]| respond("410 Gone", "", ""))]
 #[case::incomplete_503(|_: &[BatchedMessage]| incomplete("503 Full"))]
 #[case::incomplete_429(|_: &[BatchedMessage]| incomplete("429 Later\r\nretry-after: 0.2"))]
 #[case::incomplete_400(|_: &[BatchedMessage]| incomplete("400 Bad"))]
