--- a/src/upstream/batch.rs
+++ b/src/upstream/batch.rs
@@ -190,7 +190,7 @@
         }
     };
     if head.status == StatusCode::OK {
-        by_name.extend(parse_results(&body, &head.headers));
+        add_results(&mut by_name, parse_results(&body, &head.headers));
         if attempts.iter().any(|attempt| !by_name.contains_key(&attempt.context.name)) {
             log::info!(address; "unreadable response: a message of the batch has no result and may have run");
         }
@@ -203,6 +203,13 @@
     BatchResults { by_name, others: response::result_of_complete_response(CallKind::Batch, &head, monitor) }
 }
 
+/// Adds the results of a response. A message that already has a result was not sent, so the response cannot have one for it.
+fn add_results(unsent: &mut HashMap<String, AttemptResult>, results: HashMap<String, AttemptResult>) {
+    for (name, result) in results {
+        unsent.entry(name).or_insert(result);
+    }
+}
+
 /// Encodes a request with these messages. Returns `None` if there are none.
 fn encode(to: &Uri, attempts: &[&Attempt]) -> Option<UpstreamRequest> {
     let longest = attempts.iter().map(|attempt| attempt.timeout).max()?;
@@ -223,21 +230,35 @@
     body.freeze()
 }
 
-/// Parses lines of the form `NAME RESULT` and returns the result of each message by name. Ignores unknown results.
+/// Parses lines of the form `NAME RESULT` and returns the result of each message by name. Ignores unknown results. A message with
+/// two different results may have run.
 fn parse_results(text: &[u8], headers: &HeaderMap) -> HashMap<String, AttemptResult> {
     let text = String::from_utf8_lossy(text);
-    let report = response::load_report(headers);
-    let parse_line = |line: &str| {
-        let (name, result) = line.trim().split_once(' ')?;
-        let (outcome, is_message_over) = match result.trim() {
-            "done" => (Outcome::Ok, false),
-            "failed" => (Outcome::Error, false),
-            "busy" => (Outcome::Rejected(response::retry_after(headers)), false),
-            "void" => (Outcome::Skipped, true),
-            "used_up" => (Outcome::Skipped, false),
-            _ => return None,
-        };
-        Some((name.to_string(), AttemptResult { outcome, is_message_over, report }))
+    let mut results: HashMap<String, AttemptResult> = HashMap::new();
+    for line in text.lines() {
+        let Some((name, result)) = parse_result(line, headers) else { continue };
+        let first = results.entry(name).or_insert(result);
+        if first.outcome != result.outcome || first.is_message_over != result.is_message_over {
+            *first = Outcome::UnreadableAnswer.into();
+        }
+    }
+    results
+}
+
+/// Parses a line of the form `NAME RESULT`. Returns `None` if the result is unknown.
+fn parse_result(line: &str, headers: &HeaderMap) -> Option<(String, AttemptResult)> {
+    let (name, result) = line.trim().split_once(' ')?;
+    let (outcome, is_message_over) = match result.trim() {
+        "done" => (Outcome::Ok, false),
+        "failed" => (Outcome::Error, false),
+        "busy" => (Outcome::Rejected(response::retry_after(headers)), false),
+        "void" => (Outcome::Skipped, true),
+        "used_up" => (Outcome::Skipped, false),
+        _ => return None,
     };
-    text.lines().filter_map(parse_line).collect()
+    let report = response::load_report(headers);
+    Some((name.to_string(), AttemptResult { outcome, is_message_over, report }))
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/batch.rs
+++ b/tests/batch.rs
@@ -168,6 +168,7 @@
     Reply::Respond(format!("HTTP/1.1 200 OK\r\ncontent-length: 500\r\n\r\n{} done\r\n", m[0].id))
 })]
 #[case::missing_results(|_: &[BatchedMessage]| respond("200 OK", "", "somebody done\r\n"))]
+#[case::contradictory_results(|_: &[BatchedMessage]| respond("200 OK", "", "p done\r\nr failed\r\np busy\r\nr busy\r\n"))]
 #[case::error_status(|_: &[BatchedMessage]| respond("500 Error", "", ""))]
 #[case::gateway_timeout(|_: &[BatchedMessage]| respond("504 Gateway Timeout", "", ""))]
 #[case::gone(|_: &[BatchedMessage]| respond("410 Gone", "", ""))]
