--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -10,6 +10,8 @@
 /// Maximum rate at which all forwarders together poll a server that does not respond. It is far below the capacity of a
 /// discovery server, so that an overloaded server can recover.
 const MAX_POLLS_PER_SEC: f64 = 20.0;
+/// Mean of the delays that are uniformly distributed over the upper half of a window, relative to the window.
+const MEAN_UPPER_HALF: f64 = 0.75;
 /// Lower bound of the longest window. With few forwarders, a shorter limit has no benefit.
 const MIN_LONGEST_WINDOW: Duration = Duration::from_secs(1);
 
@@ -59,17 +61,33 @@
         delay
     }
 
+    /// Returns the delay after a connection that broke without a response. The window is limited as that of
+    /// [`rejection_delay`](Self::rejection_delay).
+    pub fn broken_connection_delay(&mut self, max_delay: Duration) -> Duration {
+        self.window = self.window.min(self.bearable_window(max_delay));
+        self.next_delay()
+    }
+
     /// Returns the delay after a failed connect, at most `max_delay`. Such a poll costs the server nothing while it is down.
     /// Once the server is up again, all forwarders find it within `max_delay`. The delays are uniformly distributed over the
     /// upper half of the window, which spreads the polls over at least that time.
     pub fn probe_delay(&mut self, max_delay: Duration) -> Duration {
         let window = self.shared_window.min(max_delay);
         self.shared_window = (window * 2).min(max_delay);
-        window / 2 + self.random_fraction_of(window / 2)
+        self.random_upper_half_of(window)
+    }
+
+    /// Returns the delay after a rejected poll. Each rejection halves the polling rate of the forwarders that receive it. A server
+    /// that is down may reject polls like an overloaded one, so the rate is halved only until all forwarders together poll at
+    /// [`MAX_POLLS_PER_SEC`], or each within `max_delay` if that takes longer: then they find the server within `max_delay` once it
+    /// is up again, unless they are too many.
+    pub fn rejection_delay(&mut self, max_delay: Duration) -> Duration {
+        self.shared_window = (self.shared_window * 2).min(self.bearable_window(max_delay));
+        self.random_upper_half_of(self.shared_window)
     }
 
-    /// Returns the delay after a response that indicates overload. Each such response halves the polling rate of the
-    /// forwarders that receive it.
+    /// Returns the delay after a poll without a response, which indicates overload. Each such poll halves the polling rate of the
+    /// forwarders that sent it.
     pub fn overload_delay(&mut self) -> Duration {
         self.shared_window = (self.shared_window * 2).min(self.max_delay);
         self.random_fraction_of(self.shared_window)
@@ -81,6 +99,15 @@
         self.shared_window = self.poll_period.max(INITIAL_WINDOW);
     }
 
+    /// Returns the window in which all forwarders poll at [`MAX_POLLS_PER_SEC`], or `max_delay` if that is longer.
+    fn bearable_window(&self, max_delay: Duration) -> Duration {
+        self.poll_period.div_f64(MEAN_UPPER_HALF).max(max_delay)
+    }
+
+    fn random_upper_half_of(&mut self, duration: Duration) -> Duration {
+        duration / 2 + self.random_fraction_of(duration / 2)
+    }
+
     fn random_fraction_of(&mut self, duration: Duration) -> Duration {
         duration.mul_f64(self.random.random::<f64>())
     }
--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -123,13 +123,21 @@
     seed: u64, pollers: Pollers, address_changes_at: Option<Duration>,
     script: impl Fn(usize, Duration, &str) -> Behaviour + Send + Sync + 'static,
 ) -> Vec<(u64, Duration)> {
-    let started_at = Instant::now();
-    let discovery = FakeDiscovery { started_at, polls: Arc::default(), script: Arc::new(script) };
-    let (address_sender, address) = watch::channel(OLD_ADDRESS.to_string());
     let forwarders = match pollers {
         Pollers::One => 1,
         Pollers::Many => FORWARDERS,
     };
+    run_one_of(forwarders, seed, pollers, address_changes_at, script).await
+}
+
+/// Runs the watcher of one of this many forwarders as [`run`] does.
+async fn run_one_of(
+    forwarders: usize, seed: u64, pollers: Pollers, address_changes_at: Option<Duration>,
+    script: impl Fn(usize, Duration, &str) -> Behaviour + Send + Sync + 'static,
+) -> Vec<(u64, Duration)> {
+    let started_at = Instant::now();
+    let discovery = FakeDiscovery { started_at, polls: Arc::default(), script: Arc::new(script) };
+    let (address_sender, address) = watch::channel(OLD_ADDRESS.to_string());
     let backoff = Backoff::new(forwarders, pollers.max_backoff(), seed);
     let start = WatchStart { version: 1, can_serve: true, pollers, max_list_bytes: 4 << 20 };
     let applied = Arc::new(Mutex::new(Vec::new()));
@@ -268,6 +276,27 @@
     assert!(first_applied_at(&run(1, Pollers::One, None, script).await, 2) < Duration::from_secs(1));
 }
 
+/// Guards against messages to an endpoint that has gone (review/6): a discovery that is down and answers 503, or resets connections, was
+/// polled ever more seldom, up to 30 s after its return. More forwarders than these poll less often, so that an overloaded server
+/// recovers (`capacity`).
+#[rstest]
+#[case::rejected(Status("503 Down"))]
+#[case::reset(Reset)]
+#[tokio::test(start_paused = true)]
+async fn after_an_outage_that_answers_the_list_is_applied_in_time(
+    #[case] outage: Behaviour, #[values(2, 3, 20, 65)] forwarders: usize,
+    #[values(2, 8, 20, 40)] down_secs: u64,
+) {
+    let down = Duration::from_secs(down_secs);
+    for seed in SEEDS {
+        let during_outage = outage.clone();
+        let script = move |_, at, _: &str| if at < down { during_outage.clone() } else { list(2) };
+        let applied = run_one_of(forwarders, seed, Pollers::Many, None, script).await;
+        let elapsed = first_applied_at(&applied, 2).saturating_sub(down);
+        assert!(elapsed < STALENESS_BOUND, "seed {seed}: {elapsed:?}");
+    }
+}
+
 /// The list is applied within the staleness bound after an outage, also by one of 300 forwarders that poll the same server.
 ///
 /// Guards against two faults. When the delay doubled up to 30 s after each refused connect, a forwarder noticed the recovered
--- a/src/discovery/watcher.rs
+++ b/src/discovery/watcher.rs
@@ -248,12 +248,13 @@
             WatchError::Connect(_) | WatchError::ConnectTimedOut => {
                 self.backoff.probe_delay(SHARED_PROBE_DELAY)
             }
-            WatchError::Status(_) | WatchError::TimedOut => self.backoff.overload_delay(),
+            WatchError::Status(_) => self.backoff.rejection_delay(SHARED_PROBE_DELAY),
+            WatchError::TimedOut => self.backoff.overload_delay(),
             WatchError::Http(_)
             | WatchError::Address(_)
             | WatchError::Ended
             | WatchError::TooLong(_)
-            | WatchError::Task(_) => self.backoff.next_delay(),
+            | WatchError::Task(_) => self.backoff.broken_connection_delay(SHARED_PROBE_DELAY),
         }
     }
 }
