--- a/src/client/as2/mod.rs
+++ b/src/client/as2/mod.rs
@@ -13,7 +13,7 @@
 use crate::clock;
 use crate::core::Answer;
 use crate::exchange::Exchange;
-use crate::request::RequestContext;
+use crate::request::{RequestContext, AS2_NAME_PREFIX};
 use crate::settings::DeploymentSettings;
 use axum::body::Bytes;
 use axum::extract::State;
@@ -52,10 +52,6 @@
 /// Maximum number of asynchronous MDNs for messages that were not accepted.
 const MAX_UNDELIVERED_MDNS: usize = 64;
 
-/// Prefix of the name under which a partner's message is accepted. Separates these names from those of the platform's
-/// messages.
-const MESSAGE_NAME_PREFIX: &str = "as2:";
-
 /// The AS2 front: its settings, and the exchange that receives its messages.
 pub struct As2Front {
     /// The names of classes and tenants, and the rules of each class.
@@ -181,7 +177,7 @@
         let partner = request.partner;
         let class = index_of(&self.deployment.classes, &partner.class)?;
         let rules = &self.deployment.module.classes[class];
-        let name = format!("{MESSAGE_NAME_PREFIX}{}:{}", partner.name, request.message_id);
+        let name = format!("{AS2_NAME_PREFIX}{}:{}", partner.name, request.message_id);
         let is_ordered = rules.fifo_by_key && !subject.is_empty();
         Some(RequestContext {
             idempotency_key: name.clone(),
--- a/src/core/completions.rs
+++ b/src/core/completions.rs
@@ -4,12 +4,18 @@
 use crate::interface::{Effect, MessageId, Nanos};
 use crate::journal::{Completion, Record};
 use crate::metrics::MessageResult;
-use crate::request::RequestContext;
+use crate::request::{has_lasting_name, RequestContext};
 
 /// How long a complete message stays in the deduplication cache after its deadline, in seconds: a repeat may be that long
 /// in the network.
 const DEDUPLICATION_GRACE_S: f64 = 2.0;
 
+/// How long a complete message with a lasting name stays in the deduplication cache after its completion, in seconds: a partner whose
+/// connection was down for a day may still repeat it.
+const LASTING_DEDUPLICATION_S: f64 = 24.0 * 3600.0;
+/// Divisor of the memory and of the journal's capacity: the part that messages with lasting names may take in the cache.
+const LASTING_SHARE_DIVISOR: u64 = 4;
+
 /// A message this close to its deadline, in seconds, counts as expired: if deferred, it would not run again after a
 /// restart, and if delivered, its client may already have given it up.
 pub(super) const DEADLINE_MARGIN_S: f64 = 0.05;
@@ -121,10 +127,24 @@
             Some(Effect::IdempotentByKey { window, .. }) => window,
             _ => Nanos(0),
         };
-        let until = context.deadline.max(at + window) + DEDUPLICATION_GRACE_S;
+        let mut until = context.deadline.max(at + window) + DEDUPLICATION_GRACE_S;
+        if has_lasting_name(&context.name) {
+            until = until.max(at + LASTING_DEDUPLICATION_S);
+        }
         let (name, idempotency_key) = (context.name.clone(), context.idempotency_key.clone());
         self.deduplication.expire(self.now);
         self.deduplication.insert(name, idempotency_key, until, delivered);
+        self.evict_lasting_results();
+    }
+
+    /// Keeps the results of messages with lasting names within their share, so that they leave room for new messages.
+    fn evict_lasting_results(&mut self) {
+        let max_journal_bytes = self.journal.capacity() / LASTING_SHARE_DIVISOR;
+        let max_memory_bytes = self.message_limit / LASTING_SHARE_DIVISOR;
+        let evicted = self.deduplication.evict_lasting(max_journal_bytes, max_memory_bytes);
+        if evicted > 0 {
+            log::warn!(evicted; "results of AS2 messages forgotten before their time: a repeat of such a message would run again");
+        }
     }
 
     /// Removes the message if it waits neither for an acknowledgement nor for the end of an attempt.
--- a/src/core/repeats/tests.rs
+++ b/src/core/repeats/tests.rs
@@ -248,3 +248,37 @@
     let outputs = forwarder.step(vec![Input::Submitted { id: third, context }]);
     assert!(is_rejected(answer_to(third, &outputs)));
 }
+
+/// Accepts a message that must not run twice and delivers it.
+fn deliver(forwarder: &mut Forwarder, name: &str) {
+    let context = RequestContext { class: AT_MOST_ONCE_CLASS, ..request(name, forwarder.now) };
+    let id = forwarder.core.next_id();
+    let outputs = forwarder.step(vec![Input::Submitted { id, context }]);
+    assert_eq!(answer_to(id, &outputs), Some(Answer::Accepted));
+    let attempt = attempts(&outputs).pop().expect("an attempt");
+    assert!(forwarder.core.may_send(forwarder.now, attempt.id, attempt.attempt));
+    forwarder.step(vec![ended(&attempt, Outcome::Ok, false)]);
+}
+
+/// Guards against a payout that ran twice (review/8): a repeat by an AS2 partner, which has the Message-ID of the first time, came after
+/// the time in which repeats by the platform's clients are known.
+#[rstest]
+#[case::within_a_day(23.0 * 3600.0, Answer::Delivered)]
+#[case::after_a_day(25.0 * 3600.0, Answer::Accepted)]
+fn a_repeat_by_an_as2_partner_is_known_for_a_day(
+    #[case] after_s: f64, #[case] expected: Answer, #[values(false, true)] restarts: bool,
+) {
+    const NAME: &str = "as2:bank:<payout-1@bank>";
+    let mut forwarder = start();
+    deliver(&mut forwarder, NAME);
+    if restarts {
+        forwarder.restart(configured(1), ListDelivery::Delayed);
+    }
+    forwarder.now = forwarder.now + after_s;
+    // A completion removes what has expired.
+    deliver(&mut forwarder, "another");
+    let context = RequestContext { class: AT_MOST_ONCE_CLASS, ..request(NAME, forwarder.now) };
+    let id = forwarder.core.next_id();
+    let outputs = forwarder.step(vec![Input::Submitted { id, context }]);
+    assert_eq!(answer_to(id, &outputs), Some(expected));
+}
--- a/src/deduplication.rs
+++ b/src/deduplication.rs
@@ -3,8 +3,9 @@
 //! messages.
 #![warn(missing_docs)]
 use crate::journal::{Journal, Record};
+use crate::request::has_lasting_name;
 use crate::Nanos;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Memory of an entry beside its texts, in bytes.
 const ENTRY_OVERHEAD_BYTES: u64 = 448;
@@ -35,6 +36,10 @@
     by_name: HashMap<String, Expiry>,
     /// Delivered messages by idempotency key.
     by_idempotency_key: HashMap<String, Expiry>,
+    /// Messages with a lasting name, which are kept for long and can be evicted before they expire.
+    lasting: BTreeSet<Expiry>,
+    /// Share of the journal's reservation that belongs to them, in bytes.
+    lasting_journal_bytes: u64,
     last_number: u64,
     journal_bytes: u64,
 }
@@ -48,7 +53,12 @@
         if delivered && !idempotency_key.is_empty() {
             self.by_idempotency_key.insert(idempotency_key.clone(), expiry);
         }
-        self.journal_bytes += Journal::deduplicated_bytes(&name, &idempotency_key);
+        let bytes = Journal::deduplicated_bytes(&name, &idempotency_key);
+        self.journal_bytes += bytes;
+        if has_lasting_name(&name) {
+            self.lasting.insert(expiry);
+            self.lasting_journal_bytes += bytes;
+        }
         self.by_expiry.insert(expiry, CompleteMessage { name, idempotency_key, delivered });
     }
 
@@ -62,16 +72,41 @@
 
     /// Removes the messages whose expiry time is `now` or earlier.
     pub fn expire(&mut self, now: Nanos) {
-        while let Some(entry) = self.by_expiry.first_entry().filter(|e| e.key().0 <= now) {
-            let (expiry, message) = entry.remove_entry();
-            self.journal_bytes -= Journal::deduplicated_bytes(&message.name, &message.idempotency_key);
-            // Keep the index entries of a later message with the same name or key.
-            if self.by_name.get(&message.name) == Some(&expiry) {
-                self.by_name.remove(&message.name);
-            }
-            if self.by_idempotency_key.get(&message.idempotency_key) == Some(&expiry) {
-                self.by_idempotency_key.remove(&message.idempotency_key);
-            }
+        while let Some(expiry) = self.by_expiry.keys().next().copied().filter(|expiry| expiry.0 <= now) {
+            self.remove(expiry);
+        }
+    }
+
+    /// Removes the oldest messages with a lasting name until the journal reserves at most `max_journal_bytes` for them and they take
+    /// at most `max_memory_bytes`. Returns the number of removed messages.
+    pub fn evict_lasting(&mut self, max_journal_bytes: u64, max_memory_bytes: u64) -> usize {
+        let mut evicted = 0;
+        while self.lasting_journal_bytes > max_journal_bytes || self.lasting_memory_bytes() > max_memory_bytes
+        {
+            let Some(oldest) = self.lasting.first().copied() else { break };
+            self.remove(oldest);
+            evicted += 1;
+        }
+        evicted
+    }
+
+    fn lasting_memory_bytes(&self) -> u64 {
+        2 * self.lasting_journal_bytes + self.lasting.len() as u64 * ENTRY_OVERHEAD_BYTES
+    }
+
+    fn remove(&mut self, expiry: Expiry) {
+        let Some(message) = self.by_expiry.remove(&expiry) else { return };
+        let bytes = Journal::deduplicated_bytes(&message.name, &message.idempotency_key);
+        self.journal_bytes -= bytes;
+        if self.lasting.remove(&expiry) {
+            self.lasting_journal_bytes -= bytes;
+        }
+        // Keep the index entries of a later message with the same name or key.
+        if self.by_name.get(&message.name) == Some(&expiry) {
+            self.by_name.remove(&message.name);
+        }
+        if self.by_idempotency_key.get(&message.idempotency_key) == Some(&expiry) {
+            self.by_idempotency_key.remove(&message.idempotency_key);
         }
     }
 
@@ -95,3 +130,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/request.rs
+++ b/src/request.rs
@@ -3,6 +3,16 @@
 use crate::interface::Nanos;
 use bytes::Bytes;
 
+/// Prefix of the names of messages that AS2 partners submit. The partner's Message-ID follows.
+pub const AS2_NAME_PREFIX: &str = "as2:";
+
+/// Returns whether a message with this name may be submitted again long after its completion. An AS2 partner repeats a message whose
+/// receipt it has not received under the same Message-ID (RFC 4130, section 5.2.1), whereas the platform's clients give each submission a
+/// new id.
+pub fn has_lasting_name(name: &str) -> bool {
+    name.starts_with(AS2_NAME_PREFIX)
+}
+
 /// A request for delivery, as a client submitted it.
 #[derive(Debug)]
 pub struct RequestContext {
