--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -121,6 +121,9 @@
 /// The state that persists when the owner of the journal changes.
 #[derive(Default)]
 struct Process {
+    /// The configuration of the last period. The values that took precedence over the file's keys at the start of the process are
+    /// part of it.
+    config: Option<Config>,
     management: Option<ManagementServer>,
     takeover: StateMachine,
     listener: ClientListener,
@@ -157,7 +160,7 @@
 async fn run_once(
     flags: &RunFlags, process: &mut Process, terminate: &mut Terminate, hangup: Signal,
 ) -> Result<RunEnd, DaemonError> {
-    let config = Config::read(flags)?;
+    let config = read_config(flags, process)?;
     log_limits(&config);
     start_management(&config, process)?;
     let folder = SharedFolder::open(&config.state_dir)?;
@@ -169,6 +172,24 @@
     service.run(process, &folder, lock, terminate).await
 }
 
+/// Reads the configuration at the start of a period. Which variables take precedence over the file is decided once, at the start of
+/// the process: a key that a reload has changed since then differs from its variable, and must not lose to it.
+///
+/// # Errors
+///
+/// The file cannot be used, and the process has no configuration yet.
+fn read_config(flags: &RunFlags, process: &mut Process) -> Result<Config, DaemonError> {
+    let config = match &process.config {
+        None => Config::read(flags)?,
+        Some(current) => current.reload().unwrap_or_else(|error| {
+            log::error!("configuration not read again, the current one stays in force: {error}");
+            current.clone()
+        }),
+    };
+    process.config = Some(config.clone());
+    Ok(config)
+}
+
 /// Creates the limiter of all client connections of a process with this configuration.
 fn client_limiter(config: &Config) -> Arc<ConnectionLimiter> {
     let sockets = config.socket_limit as u64;
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -268,6 +268,32 @@
     assert_eq!(fixture.count_calls("slow-n"), 1);
 }
 
+/// Guards against lost messages (review/10): a process that served again after its successor had died used the address of discovery
+/// from before a reload, because the environment variable differed from the reloaded key.
+#[test]
+fn a_predecessor_that_serves_again_keeps_the_reloaded_discovery_address() {
+    let endpoint = Server::always("500 Oops");
+    let known = endpoint_list(1, &[(7, endpoint.addr)]);
+    let (old, new) =
+        (start_discovery(known.clone()), start_discovery(endpoint_list(2, &[(7, endpoint.addr)])));
+    let variables = [("RELAY_MGMT", free_address()), ("RELAY_DISCOVERY", old.addr)];
+    let env = variables.map(|(name, address)| (name.to_string(), address.to_string())).to_vec();
+    let predecessor = Setup { env, ..setup(&old, known) }.start();
+    let entry = |discovery: &Server| format!(r#""discovery":"{}""#, discovery.addr);
+    predecessor.reload(&entry(&old), &entry(&new));
+    predecessor.wait_log("upstream group: version 2");
+    let mut successor = predecessor.start_second_process("RELAY_MGMT", &free_address().to_string());
+    successor.wait_log("ready:");
+    let log = predecessor.wait_log("handed over");
+    let (log_before_the_kill, requests_to_old) = (log.len(), old.received().len());
+    successor.kill();
+    predecessor.wait_log_from(log_before_the_kill, "ready:");
+    assert_eq!(predecessor.submit("payout", "p1"), 202);
+    new.wait_text(r#"{"id":"p1","status":"undeliverable"}"#);
+    let to_old = old.received().split_off(requests_to_old);
+    assert!(to_old.iter().all(|request| !request.text().contains("p1")), "{to_old:?}");
+}
+
 #[test]
 fn without_a_management_address_a_second_process_waits_until_the_first_has_ended() {
     let endpoint = Server::always("200 OK");
