--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -5,6 +5,7 @@
 use super::test_disk::{InMemoryDisk, ALL_OPERATIONS};
 use super::*;
 use crate::interface::{Class, Effect, EndpointKind, EndpointState, IdempotencyScope, ListedRates, Outcome};
+use crate::journal::Journal;
 use crate::request::RequestContext;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
