--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -78,8 +78,8 @@
     }
 
     /// Returns the delay after a rejected poll. Each rejection halves the polling rate of the forwarders that receive it. A server
-    /// that is down may reject polls like an overloaded one, so the rate is halved only until all forwarders together poll at
-    /// [`MAX_POLLS_PER_SEC`], or each within `max_delay` if that takes longer: then they find the server within `max_delay` once it
+    /// that is down may reject polls like an overloaded one, so the rate is halved only until all forwarders together poll
+    /// 20 times a second, or each within `max_delay` if that takes longer: then they find the server within `max_delay` once it
     /// is up again, unless they are too many.
     pub fn rejection_delay(&mut self, max_delay: Duration) -> Duration {
         self.shared_window = (self.shared_window * 2).min(self.bearable_window(max_delay));
--- a/src/core/options.rs
+++ b/src/core/options.rs
@@ -7,7 +7,7 @@
 use crate::settings::DeploymentSettings;
 use std::sync::Arc;
 
-/// Parameters of [`Core::new`].
+/// Parameters of [`Core::new`](super::Core::new).
 pub struct CoreOptions {
     /// Settings of the decision module, and the names of classes, tenants, zones and endpoint kinds.
     pub deployment: Arc<DeploymentSettings>,
