Wait for the sessions before the fleet rig resets them

Its timeline: both members agreed after 3 ms, all connections were reset at 4 ms, and n0's session with n1 began at 16 ms, so no reset could end it and the awaited log line never came. The test presumed that agreement implies sessions; nothing in src was at fault. Change: the test waits until each member receives observations from the other, then resets. What it demands after that is unchanged.

--- a/tests/net_rig.rs
+++ b/tests/net_rig.rs
@@ -43,6 +43,8 @@
 fn connections_are_reset_or_cut_within_a_frame_as_configured() {
     let mut fleet = Fleet::start(2, 2, &[0, 1]);
     assert!(fleet.wait_for_agreement(&[0, 1], AGREEMENT_TIMEOUT).is_some(), "{}", fleet.timeline());
+    // Members can agree before their sessions are established, and a session that begins after the reset is not ended by it.
+    fleet.members.iter().for_each(|member| drop(member.wait_log("receiving observations from a peer")));
     let session_ended = "peer exchange: session with source ";
     fleet.reset_connections();
     fleet.members[0].wait_log(session_ended);
