One table for the statuses of responses, one way to wait for a body; no work twice

The statuses stood in four functions, two of them nearly the same; reading a body to its end, and what follows if it is incomplete, stood in three places and two functions; a monitor went through batches and AS2 for a check that only calls with one message make; a body read in the background ran under two time-outs. Change: one match over kind and status; read_body and discard_body give the result of an incomplete response themselves, over one await_end; the check for a full connection table is back beside the one call that makes it. A script's hooks are found once, when it is loaded, and the arguments of a call are made only if it takes place. The cache's memory has one formula, and results are evicted only after a lasting one was added. Behaviour and log lines are as before; no assertion changed.

--- a/src/core/completions.rs
+++ b/src/core/completions.rs
@@ -128,13 +128,16 @@
             _ => Nanos(0),
         };
         let mut until = context.deadline.max(at + window) + DEDUPLICATION_GRACE_S;
-        if has_lasting_name(&context.name) {
+        let is_lasting = has_lasting_name(&context.name);
+        if is_lasting {
             until = until.max(at + LASTING_DEDUPLICATION_S);
         }
         let (name, idempotency_key) = (context.name.clone(), context.idempotency_key.clone());
         self.deduplication.expire(self.now);
         self.deduplication.insert(name, idempotency_key, until, delivered);
-        self.evict_lasting_results();
+        if is_lasting {
+            self.evict_lasting_results();
+        }
     }
 
     /// Keeps the results of messages with lasting names within their share, so that they leave room for new messages.
--- a/src/core/repeats/tests.rs
+++ b/src/core/repeats/tests.rs
@@ -52,8 +52,13 @@
 
 /// Accepts the message `m` and returns its attempt, whose first byte is sent.
 fn start_attempt(forwarder: &mut Forwarder, class: usize) -> Attempt {
-    let (id, first) = submit_class(forwarder, class);
-    let outputs = forwarder.step(vec![first]);
+    start_attempt_of(forwarder, RequestContext { class, ..request("m", STARTED) })
+}
+
+/// Accepts a message and returns its attempt, whose first byte is sent.
+fn start_attempt_of(forwarder: &mut Forwarder, context: RequestContext) -> Attempt {
+    let id = forwarder.core.next_id();
+    let outputs = forwarder.step(vec![Input::Submitted { id, context }]);
     assert_eq!(answer_to(id, &outputs), Some(Answer::Accepted));
     let attempt = attempts(&outputs).pop().expect("an attempt");
     assert!(forwarder.core.may_send(forwarder.now, attempt.id, attempt.attempt));
@@ -252,11 +257,7 @@
 /// Accepts a message that must not run twice and delivers it.
 fn deliver(forwarder: &mut Forwarder, name: &str) {
     let context = RequestContext { class: AT_MOST_ONCE_CLASS, ..request(name, forwarder.now) };
-    let id = forwarder.core.next_id();
-    let outputs = forwarder.step(vec![Input::Submitted { id, context }]);
-    assert_eq!(answer_to(id, &outputs), Some(Answer::Accepted));
-    let attempt = attempts(&outputs).pop().expect("an attempt");
-    assert!(forwarder.core.may_send(forwarder.now, attempt.id, attempt.attempt));
+    let attempt = start_attempt_of(forwarder, context);
     forwarder.step(vec![ended(&attempt, Outcome::Ok, false)]);
 }
 
--- a/src/deduplication.rs
+++ b/src/deduplication.rs
@@ -29,6 +29,11 @@
 /// Expiry time of an entry and a unique number, since several entries may expire at the same time.
 type Expiry = (Nanos, u64);
 
+/// Returns the memory of entries for which the journal reserves this many bytes: each stands in three tables, with its texts twice.
+fn memory_bytes(journal_bytes: u64, entries: usize) -> u64 {
+    2 * journal_bytes + entries as u64 * ENTRY_OVERHEAD_BYTES
+}
+
 /// Cache of complete messages. Each entry is kept until repeated requests for its message need no longer be recognized.
 #[derive(Default)]
 pub struct DeduplicationCache {
@@ -91,7 +96,7 @@
     }
 
     fn lasting_memory_bytes(&self) -> u64 {
-        2 * self.lasting_journal_bytes + self.lasting.len() as u64 * ENTRY_OVERHEAD_BYTES
+        memory_bytes(self.lasting_journal_bytes, self.lasting.len())
     }
 
     fn remove(&mut self, expiry: Expiry) {
@@ -110,9 +115,9 @@
         }
     }
 
-    /// Returns the memory of the cache, in bytes: each entry stands in three tables, with its texts twice.
+    /// Returns the memory of the cache, in bytes.
     pub fn memory_bytes(&self) -> u64 {
-        2 * self.journal_bytes + self.by_expiry.len() as u64 * ENTRY_OVERHEAD_BYTES
+        memory_bytes(self.journal_bytes, self.by_expiry.len())
     }
 
     /// Returns the number of bytes that the journal reserves for the cache.
--- a/src/plugins/engine.rs
+++ b/src/plugins/engine.rs
@@ -51,10 +51,26 @@
     clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).map(Duration::from).unwrap_or_default()
 }
 
+impl Hooks {
+    fn defined_in(ast: &AST) -> Hooks {
+        let defines = |hook: Hook| ast.iter_functions().any(|function| function.name == hook.function());
+        Hooks { request: defines(Hook::Request), outcome: defines(Hook::Outcome) }
+    }
+
+    fn contain(self, hook: Hook) -> bool {
+        match hook {
+            Hook::Request => self.request,
+            Hook::Outcome => self.outcome,
+        }
+    }
+}
+
 /// A loaded script.
 struct Script {
     name: String,
     ast: AST,
+    /// The hooks that the script defines.
+    hooks: Hooks,
     /// The time until which the script is not called.
     suspended_until: Option<Instant>,
     /// How long the next suspension lasts.
@@ -62,10 +78,6 @@
 }
 
 impl Script {
-    fn defines(&self, hook: Hook) -> bool {
-        self.ast.iter_functions().any(|function| function.name == hook.function())
-    }
-
     fn is_suspended(&self) -> bool {
         self.suspended_until.is_some_and(|until| Instant::now() < until)
     }
@@ -125,8 +137,8 @@
         match compile(&self.engine, file) {
             Ok(ast) => {
                 log::info!("script {name} loaded");
-                let next_suspension = MIN_SUSPENSION;
-                self.scripts.push(Script { name, ast, suspended_until: None, next_suspension });
+                let (hooks, next_suspension) = (Hooks::defined_in(&ast), MIN_SUSPENSION);
+                self.scripts.push(Script { name, ast, hooks, suspended_until: None, next_suspension });
             }
             Err(e) => log::error!("script {name} skipped: {e}"),
         }
@@ -134,17 +146,16 @@
 
     /// Returns the hooks that at least one script defines.
     pub(super) fn hooks(&self) -> Hooks {
-        let defines = |hook| self.scripts.iter().any(|script| script.defines(hook));
-        Hooks { request: defines(Hook::Request), outcome: defines(Hook::Outcome) }
+        let any = |hook| self.scripts.iter().any(|script| script.hooks.contain(hook));
+        Hooks { request: any(Hook::Request), outcome: any(Hook::Outcome) }
     }
 
     /// Calls `on_request` in each script, in order, until one rejects the request. Otherwise collects the scripts' tags.
     pub(super) fn on_request(&mut self, request: &ScriptRequest) -> Verdict {
         let mut tags = Vec::new();
         for index in 0..self.scripts.len() {
-            let Some(result) = self.call(index, Hook::Request, vec![to_map(request).into()]) else {
-                continue;
-            };
+            let arguments = || vec![to_map(request).into()];
+            let Some(result) = self.call(index, Hook::Request, arguments) else { continue };
             if result.clone().try_cast::<String>().is_some_and(|text| text == "reject") {
                 return Verdict::Reject;
             }
@@ -157,18 +168,21 @@
     /// Calls `on_outcome` in each script with the outcome of an attempt. The scripts' return values are ignored.
     pub(super) fn on_outcome(&mut self, request: &ScriptRequest, outcome: &str) {
         for index in 0..self.scripts.len() {
-            let arguments = vec![to_map(request).into(), outcome.to_string().into()];
+            let arguments = || vec![to_map(request).into(), outcome.to_string().into()];
             self.call(index, Hook::Outcome, arguments);
         }
     }
 
     /// Calls a hook of a script and returns its result. A script that fails, panics or exceeds a limit is logged and yields no
     /// result, so that it cannot disturb delivery.
-    fn call(&mut self, index: usize, hook: Hook, arguments: Vec<Dynamic>) -> Option<Dynamic> {
+    fn call(
+        &mut self, index: usize, hook: Hook, arguments: impl FnOnce() -> Vec<Dynamic>,
+    ) -> Option<Dynamic> {
         let script = self.scripts.get_mut(index)?;
-        if !script.defines(hook) || script.is_suspended() {
+        if !script.hooks.contain(hook) || script.is_suspended() {
             return None;
         }
+        let arguments = arguments();
         let call = RunningCall { script: script.name.clone(), hook, since: Instant::now() };
         self.running.set(Some(call));
         self.cpu_time.start();
--- a/src/plugins/mod.rs
+++ b/src/plugins/mod.rs
@@ -68,7 +68,7 @@
     }
 }
 
-/// The hooks that at least one script defines.
+/// The hooks that a script, or at least one of several, defines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Hooks {
     request: bool,
--- a/src/plugins/worker.rs
+++ b/src/plugins/worker.rs
@@ -21,7 +21,7 @@
 }
 
 /// The reason why the scripts have not decided on a request, or have not seen an outcome.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, thiserror::Error)]
 enum SkipReason {
     #[error("script {script}: {hook} has been running for more than {HOOK_TIMEOUT:?}")]
     Hangs { script: String, hook: &'static str },
--- a/src/upstream/as2.rs
+++ b/src/upstream/as2.rs
@@ -56,18 +56,16 @@
         Ok(call) => call,
         Err(error) => return platform::result_of_failed_call(&partner.url, &error),
     };
-    let monitor = call.monitor.clone();
     let (response, connection) = match call.head().await {
         Ok(response_and_connection) => response_and_connection,
         Err(error) => return platform::result_of_failed_call(&partner.url, &error),
     };
     let (head, body) = response.into_parts();
     if !head.status.is_success() {
-        if let Err(error) = response::discard_body(body).await {
-            let status = Some(head.status);
-            return response::result_of_malformed_response(&partner.url, status, &error.to_string());
+        if let Err(result) = response::discard_body(&partner.url, head.status, body).await {
+            return result;
         }
-        return response::result_of_complete_response(CallKind::As2, &head, &monitor);
+        return response::result_of_complete_response(CallKind::As2, head.status, &head.headers);
     }
     let mdn = if partner.is_mdn_asynchronous() {
         asynchronous_mdn.await.unwrap_or_default()
--- a/src/upstream/batch.rs
+++ b/src/upstream/batch.rs
@@ -2,7 +2,6 @@
 //! response contains the result of each message. Each message has a separate deadline and can be cancelled separately. This
 //! module decides what that means for the rest of the batch.
 use super::connection::UpstreamRequest;
-use super::monitored_stream::CallMonitor;
 use super::platform;
 use super::pool::Pool;
 use super::response::{self, CallKind};
@@ -170,24 +169,20 @@
             };
         }
     };
-    let results = read_response(response, attempts, &monitor, address, by_name).await;
+    let results = read_response(response, attempts, address, by_name).await;
     let _ = timeout(platform::COMPLETION_GRACE_PERIOD, connection.release_when_ready()).await;
     results
 }
 
 /// Reads the results from a response.
 async fn read_response(
-    response: Response<Incoming>, attempts: &[Attempt], monitor: &CallMonitor, address: &str,
+    response: Response<Incoming>, attempts: &[Attempt], address: &str,
     mut by_name: HashMap<String, AttemptResult>,
 ) -> BatchResults {
     let (head, body) = response.into_parts();
-    let body = match response::read_body(body).await {
+    let body = match response::read_body(address, head.status, body).await {
         Ok(body) => body,
-        Err(error) => {
-            let others =
-                response::result_of_malformed_response(address, Some(head.status), &error.to_string());
-            return BatchResults { by_name, others };
-        }
+        Err(others) => return BatchResults { by_name, others },
     };
     if head.status == StatusCode::OK {
         add_results(&mut by_name, parse_results(&body, &head.headers));
@@ -200,7 +195,8 @@
         let status = head.status;
         log::error!("{address}: batch call rejected with status {status}; none of its messages has run");
     }
-    BatchResults { by_name, others: response::result_of_complete_response(CallKind::Batch, &head, monitor) }
+    let others = response::result_of_complete_response(CallKind::Batch, head.status, &head.headers);
+    BatchResults { by_name, others }
 }
 
 /// Adds the results of a response. A message that already has a result was not sent, so the response cannot have one for it.
--- a/src/upstream/platform.rs
+++ b/src/upstream/platform.rs
@@ -3,11 +3,13 @@
 use super::monitored_stream::CallMonitor;
 use super::pool::{Call, Pool, PooledConnection};
 use super::response::{self, CallKind};
+use crate::body;
 use crate::core::Attempt;
 use crate::exchange::{AttemptResult, Exchange};
 use crate::Outcome;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::{HeaderMap, CONNECTION};
 use hyper::{Request, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
@@ -81,13 +83,24 @@
         // wait lets the next call reuse this connection instead of opening another.
         let mut end = tokio::spawn(timeout(DELIVERED_READ_TIMEOUT, finish_response(body, connection)));
         let _ = timeout(COMPLETION_GRACE_PERIOD, &mut end).await;
-        return response::result_of_complete_response(CallKind::Single, &head, monitor);
+        return response::result_of_complete_response(CallKind::Single, head.status, &head.headers);
     }
-    if let Err(error) = response::discard_body(body).await {
-        return response::result_of_malformed_response(address, Some(head.status), &error.to_string());
+    if let Err(result) = response::discard_body(address, head.status, body).await {
+        return result;
     }
     let _ = timeout(COMPLETION_GRACE_PERIOD, connection.release_when_ready()).await;
-    response::result_of_complete_response(CallKind::Single, &head, monitor)
+    let mut result = response::result_of_complete_response(CallKind::Single, head.status, &head.headers);
+    // A rejection without Retry-After that closes a new connection means that the endpoint has reached its connection limit.
+    let is_rejected = result.outcome == Outcome::Rejected(None);
+    if is_rejected && monitor.is_first_on_connection() && closes_connection(&head.headers) {
+        result.outcome = Outcome::ConnectionLimit;
+    }
+    result
+}
+
+/// Returns whether the endpoint closes the connection after this response (RFC 9112, section 9.6).
+fn closes_connection(headers: &HeaderMap) -> bool {
+    headers.get(CONNECTION).is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"close"))
 }
 
 /// Returns the result of an attempt whose response head could not be read.
@@ -114,7 +127,7 @@
 
 /// Reads a response body so that the connection can be reused. A body that is not complete closes the connection.
 async fn finish_response(body: Incoming, connection: PooledConnection) {
-    if response::discard_body(body).await.is_ok() {
+    if body::discard(body, response::MAX_BODY_BYTES).await.is_ok() {
         connection.release_when_ready().await;
     }
 }
--- a/src/upstream/response.rs
+++ b/src/upstream/response.rs
@@ -9,21 +9,21 @@
 //!
 //! A response that is malformed, ends early or does not arrive in time proves nothing else: the call may have run, whatever its
 //! status line says.
-use super::monitored_stream::{CallMonitor, HeaderListener};
+use super::monitored_stream::HeaderListener;
 use crate::body::{self, BodyError};
 use crate::core::Attempt;
 use crate::exchange::{AttemptResult, Exchange};
 use crate::{DestinationId, LoadReport, Nanos, Outcome};
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, CONNECTION, RETRY_AFTER};
-use hyper::http::response::Parts;
+use hyper::header::{HeaderMap, RETRY_AFTER};
 use hyper::StatusCode;
+use std::future::Future;
 use std::time::Duration;
 use tokio::time::timeout;
 
 /// The longest body of a response in bytes. A longer one makes the response malformed.
-const MAX_BODY_BYTES: usize = 64 * 1024;
+pub(super) const MAX_BODY_BYTES: usize = 64 * 1024;
 /// How long to wait for the body of a response after its head. Endpoints write the body at once. Without this timeout, a call
 /// with an at-most-once message would occupy its slot until the deadline of that message.
 const BODY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -50,7 +50,7 @@
 
 /// The reason why the body of a response is not complete.
 #[derive(Debug, thiserror::Error)]
-pub(super) enum IncompleteBody {
+enum IncompleteBody {
     /// The body did not end in time.
     #[error("its body did not end within {BODY_TIMEOUT:?}")]
     TimedOut,
@@ -63,24 +63,33 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the body is malformed, is longer than 64 KiB, ends early or does not end within a second.
-pub(super) async fn read_body(body: Incoming) -> Result<Bytes, IncompleteBody> {
-    match timeout(BODY_TIMEOUT, body::read(body, MAX_BODY_BYTES, |_| {})).await {
-        Ok(body) => Ok(body?),
-        Err(_) => Err(IncompleteBody::TimedOut),
-    }
+/// Returns the result of the call if the body is malformed, is longer than 64 KiB, ends early or does not end within a second.
+pub(super) async fn read_body(
+    address: &str, status: StatusCode, body: Incoming,
+) -> Result<Bytes, AttemptResult> {
+    await_end(address, status, body::read(body, MAX_BODY_BYTES, |_| {})).await
 }
 
-/// Waits for the end of a response's body and drops the body, so that the connection can carry another call.
+/// Waits for the end of a response's body and drops the body.
 ///
 /// # Errors
 ///
 /// As [`read_body`].
-pub(super) async fn discard_body(body: Incoming) -> Result<(), IncompleteBody> {
-    match timeout(BODY_TIMEOUT, body::discard(body, MAX_BODY_BYTES)).await {
-        Ok(end) => Ok(end?),
-        Err(_) => Err(IncompleteBody::TimedOut),
-    }
+pub(super) async fn discard_body(
+    address: &str, status: StatusCode, body: Incoming,
+) -> Result<(), AttemptResult> {
+    await_end(address, status, body::discard(body, MAX_BODY_BYTES)).await
+}
+
+async fn await_end<T>(
+    address: &str, status: StatusCode, end: impl Future<Output = Result<T, BodyError>>,
+) -> Result<T, AttemptResult> {
+    let incomplete = match timeout(BODY_TIMEOUT, end).await {
+        Ok(Ok(body)) => return Ok(body),
+        Ok(Err(error)) => error.into(),
+        Err(_) => IncompleteBody::TimedOut,
+    };
+    Err(result_of_malformed_response(address, Some(status), &incomplete.to_string()))
 }
 
 /// Returns whether the head of this response alone decides the result of its call.
@@ -88,67 +97,27 @@
     kind == CallKind::Single && status == StatusCode::OK
 }
 
-/// Returns the result of a call whose response is complete. A batch and an AS2 message with a 2xx response get theirs from its
-/// body.
-pub(super) fn result_of_complete_response(
-    kind: CallKind, head: &Parts, monitor: &CallMonitor,
-) -> AttemptResult {
-    let mut result = result_of_status(kind, head.status, &head.headers);
-    // A rejection without Retry-After that closes a new connection means that the endpoint has reached its connection limit.
-    let is_rejected = result.outcome == Outcome::Rejected(None);
-    if is_rejected && kind == CallKind::Single && monitor.is_first_on_connection() && closes_connection(head)
-    {
-        result.outcome = Outcome::ConnectionLimit;
-    }
-    result
-}
-
 /// Returns the result that the status and the headers of a complete response indicate. Only the statuses that the protocol of the
-/// call defines as "never ran" prove that.
-fn result_of_status(kind: CallKind, status: StatusCode, headers: &HeaderMap) -> AttemptResult {
-    let outcome = match kind {
-        CallKind::Single => outcome_of_single(status, headers),
-        CallKind::Batch => outcome_of_batch(status, headers),
-        CallKind::As2 => outcome_of_as2(status, headers),
-    };
-    let is_message_over = kind == CallKind::Single && status == StatusCode::GONE;
-    AttemptResult { outcome, is_message_over, report: load_report(headers) }
-}
-
-fn outcome_of_single(status: StatusCode, headers: &HeaderMap) -> Outcome {
-    match status {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::TOO_MANY_REQUESTS => Outcome::Rejected(retry_after(headers)),
-        StatusCode::SERVICE_UNAVAILABLE => outcome_of_unavailable(headers),
-        StatusCode::GATEWAY_TIMEOUT | StatusCode::GONE => Outcome::Skipped,
-        _ => Outcome::Error,
-    }
-}
-
-/// A batch that is not rejected as a whole is answered with 200 and a result for each message.
-fn outcome_of_batch(status: StatusCode, headers: &HeaderMap) -> Outcome {
-    match status {
-        StatusCode::TOO_MANY_REQUESTS => Outcome::Rejected(retry_after(headers)),
-        StatusCode::SERVICE_UNAVAILABLE => outcome_of_unavailable(headers),
-        StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE => Outcome::Skipped,
-        _ => Outcome::Error,
-    }
-}
-
+/// call defines as "never ran" prove that. A batch with status 200 and an AS2 message with a 2xx status get their results from the
+/// body instead.
+///
 /// A gateway in front of an AS2 partner may answer 502, 503 or 504 for a message that the partner has processed, and only a signed
 /// MDN proves what became of it. 429 states that a rate limit was applied instead (RFC 6585, section 4).
-fn outcome_of_as2(status: StatusCode, headers: &HeaderMap) -> Outcome {
-    match status {
-        StatusCode::TOO_MANY_REQUESTS => Outcome::Rejected(retry_after(headers)),
+pub(super) fn result_of_complete_response(
+    kind: CallKind, status: StatusCode, headers: &HeaderMap,
+) -> AttemptResult {
+    use CallKind::{Batch, Single};
+    let outcome = match (kind, status.as_u16()) {
+        (Single, 200) => Outcome::Ok,
+        (_, 429) => Outcome::Rejected(retry_after(headers)),
+        (Single | Batch, 503) if headers.contains_key(NO_SLOT_HEADER) => Outcome::Skipped,
+        (Single | Batch, 503) => Outcome::Rejected(retry_after(headers)),
+        (Single, 504 | 410) => Outcome::Skipped,
+        (Batch, 400 | 413) => Outcome::Skipped,
         _ => Outcome::Error,
-    }
-}
-
-fn outcome_of_unavailable(headers: &HeaderMap) -> Outcome {
-    if headers.contains_key(NO_SLOT_HEADER) {
-        return Outcome::Skipped;
-    }
-    Outcome::Rejected(retry_after(headers))
+    };
+    let is_message_over = kind == Single && status == StatusCode::GONE;
+    AttemptResult { outcome, is_message_over, report: load_report(headers) }
 }
 
 /// Returns the result of a call whose response is malformed or incomplete. The call may have run.
@@ -160,11 +129,6 @@
     Outcome::UnreadableAnswer.into()
 }
 
-/// Returns whether the endpoint closes the connection after this response (RFC 9112, section 9.6).
-fn closes_connection(head: &Parts) -> bool {
-    head.headers.get(CONNECTION).is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"close"))
-}
-
 /// Returns a listener that reports the Retry-After of a response as soon as its header line arrives. A Retry-After applies to the
 /// partner and not to the message, so it is respected even if the head is incomplete or malformed or the call was cancelled.
 pub(super) fn retry_after_listener(attempt: &Attempt, kind: CallKind, exchange: &Exchange) -> HeaderListener {
--- a/src/upstream/response/tests.rs
+++ b/src/upstream/response/tests.rs
@@ -35,6 +35,7 @@
     let mut headers = HeaderMap::new();
     headers.insert(RETRY_AFTER, value.parse().expect("a header"));
     assert_eq!(retry_after(&headers), secs.map(Nanos::from_secs));
-    let outcome = result_of_status(CallKind::Single, StatusCode::TOO_MANY_REQUESTS, &headers).outcome;
+    let outcome =
+        result_of_complete_response(CallKind::Single, StatusCode::TOO_MANY_REQUESTS, &headers).outcome;
     assert_eq!(outcome, Outcome::Rejected(secs.map(Nanos::from_secs)));
 }
--- a/tests/plugins.rs
+++ b/tests/plugins.rs
@@ -25,13 +25,7 @@
     let endpoint = Server::always("200 OK");
     let known = endpoint_list(1, &[(7, endpoint.addr)]);
     let discovery_server = start_discovery(known.clone());
-    let folder = std::env::temp_dir().join(format!("plugins-{}-{}", std::process::id(), unique_number()));
-    std::fs::create_dir_all(&folder).expect("the folder is created");
-    for (name, text) in SCRIPTS {
-        std::fs::write(folder.join(name), text).expect("the script is written");
-    }
-    let env = vec![("MICALADDER_PLUGINS".to_string(), folder.display().to_string())];
-    let mut daemon = Setup { env, ..setup(&discovery_server, known) }.start();
+    let (_folder, mut daemon) = start_with_scripts(&discovery_server, known, &SCRIPTS);
     let rejected = daemon.send_request(&message_request("stats", "no", "20000m", "")).expect("a response");
     assert_eq!((rejected.status(), rejected.header("retry-after").is_some()), (503, true));
     assert_eq!(daemon.submit("payout", "yes"), 202);
@@ -41,7 +35,6 @@
     assert!(log.contains("script b_broken.rhai skipped"), "{log}");
     assert!(log.contains("script a_faulty.rhai: on_request failed"), "{log}");
     assert!(daemon.is_running() && endpoint.received().len() == 1);
-    let _ = std::fs::remove_dir_all(folder);
 }
 
 /// Existing scripts compare these texts (`docs/plugins.md`), so a renamed variant must keep its text.
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -4,11 +4,6 @@
 use stand::*;
 use std::io::{BufReader, Write};
 
-/// The configuration entry with the address of this discovery server.
-fn discovery_entry(discovery: &Server) -> String {
-    format!("\"discovery\":\"{}\"", discovery.addr)
-}
-
 #[test]
 fn a_new_discovery_address_applies_at_once_and_no_client_connection_is_closed() {
     let (old_endpoint, new_endpoint) = (Server::always("500 Oops"), Server::always("200 OK"));
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -185,6 +185,11 @@
     })
 }
 
+/// Returns the entry of the configuration file with the address of this discovery server.
+pub fn discovery_entry(discovery: &Server) -> String {
+    format!("\"discovery\":\"{}\"", discovery.addr)
+}
+
 /// Returns the reply to a watch that sends this endpoint list, then nothing more, and stays open.
 pub fn watch_response(list: &str) -> Reply {
     Reply::RespondAndHold(chunked_response([format!("{list}\n").as_bytes()]))
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -279,8 +279,7 @@
     let variables = [("RELAY_MGMT", free_address()), ("RELAY_DISCOVERY", old.addr)];
     let env = variables.map(|(name, address)| (name.to_string(), address.to_string())).to_vec();
     let predecessor = Setup { env, ..setup(&old, known) }.start();
-    let entry = |discovery: &Server| format!(r#""discovery":"{}""#, discovery.addr);
-    predecessor.reload(&entry(&old), &entry(&new));
+    predecessor.reload(&discovery_entry(&old), &discovery_entry(&new));
     predecessor.wait_log("upstream group: version 2");
     let mut successor = predecessor.start_second_process("RELAY_MGMT", &free_address().to_string());
     successor.wait_log("ready:");
